--- /dev/null
+++ b/yardbank/adapter.py
@@ -0,0 +1,261 @@
+"""The wire on one side, the decision module's interface on the other, for many gateways in one process.
+
+Reads batches from standard input, writes one reply a batch to standard output. Nothing is decided here.
+"""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import orjson
+
+from yardbank import interface as api
+from yardbank.policy import Router
+
+EFFECTS = {"pure": "safe", "token": "keyed", "side_effect": "unsafe"}
+READS = {"mutate": "write", "strong": "fresh", "causal": "session", "lag_bound": "bounded", "eventual": "any"}
+CHECKS = {"silent": "none", "bounce": "refuse", "await": "wait"}
+REPORTS = {"piggyback": "answers", "pull": "probe", "silent": "none"}
+TOKENS = {"brought": "carried", "kept": "remembered"}
+STATES = {"live": "ready", "quiescing": "draining", "dead": "gone"}
+LISTS = {"INCREMENTAL": "delta", "FULL": "full", "SAVED": "saved", "FAILED": "failed"}
+STATUS = {
+    "Ok": "ok", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout", "ConnectError": "connect_failed",
+    "ResetByPeer": "reset", "Canceled": "cancelled", "Ignored": "moot", "Miss": "miss",
+}  # fmt: skip
+NUMBER = (int, float)
+MISSING = object()
+
+
+class WireError(Exception):
+    """A message that does not follow the wire; the text names the field."""
+
+
+def field(message: Any, name: str, kinds: Any, default: Any = MISSING) -> Any:
+    """The value of a field, checked for its type; absent or null gives the default, if there is one."""
+    if not isinstance(message, dict):
+        raise WireError(f"expected an object holding '{name}'")
+    value = message.get(name)
+    if value is None:
+        if default is MISSING:
+            raise WireError(f"field '{name}' is missing")
+        return default
+    if not isinstance(value, kinds) or (isinstance(value, bool) and kinds is not bool):
+        raise WireError(f"field '{name}' has the wrong type")
+    return value
+
+
+def word(message: Any, name: str, table: dict[str, str], default: Any = MISSING) -> str:
+    """A field whose value is one of a few words, in the interface's terms."""
+    value = field(message, name, str, default)
+    if value not in table:
+        raise WireError(f"field '{name}' has the unknown value '{value}'")
+    return table[value]
+
+
+def read_settings(seed: int, env: Any) -> api.Settings:
+    """The first message's settings in the interface's terms; unknown keys are skipped."""
+    domain, limits = field(env, "domain", dict), field(env, "ceilings", dict, {})
+    rules = field(env, "rules", dict, {})
+    bounds, reads = field(domain, "lag_allowed", list, []), field(domain, "class_read", list)
+    services = field(env, "services", list)
+    if len(reads) < len(services):
+        raise WireError("field 'class_read' names too few classes")
+    classes = []
+    for index, service in enumerate(services):
+        classes.append(
+            api.RequestClass(
+                name=field(service, "name", str),
+                aim=field(service, "aim", int),
+                deadline=field(service, "hard_limit", int),
+                worth=field(service, "credit", NUMBER, 1.0),
+                late_worth=field(service, "late_worth", NUMBER, 0.0),
+                effect=word(service, "effect", EFFECTS),
+                scope=field(service, "key_scope", str, "all"),
+                window=field(service, "window", int, 0),
+                read=word({"class_read": reads[index]}, "class_read", READS),
+                staleness_bound=bounds[index] if index < len(bounds) else 0,
+            )
+        )
+    tenants = {
+        field(tenant, "name", str): field(tenant, "allowance_per_s", NUMBER, 0.0)
+        for tenant in field(env, "tenants", list, [])
+    }
+    return api.Settings(
+        seed=seed,
+        zone=field(env, "zone", str, ""),
+        gateways=field(env, "fleet_size", int, 1),
+        classes=tuple(classes),
+        checks=word(domain, "checks", CHECKS, "silent"),
+        patience=field(domain, "patience", int, 0),
+        tokens=word(domain, "session_marks", TOKENS, "kept"),
+        tells_position=field(domain, "tells_position", bool, False),
+        reports=word(field(env, "reporting", dict, {}), "via", REPORTS, "silent"),
+        period=field(env, "period", int, 1_000_000),
+        max_attempts=field(limits, "max_attempts", int, 1),
+        second_copies=field(limits, "second_copies", bool, False),
+        may_cancel=field(limits, "cancel", bool, False),
+        may_probe=field(limits, "probes", bool, False),
+        may_advise=field(limits, "retry_after", bool, False),
+        max_retry_after=field(limits, "max_retry_after", int, 0),
+        subscribe=field(env, "registry_mode", str, "automatic") == "subscribe",
+        drain_grace=field(rules, "drain_grace", int, 0),
+        answer_grace=field(rules, "grace_to_answer", int, 0),
+        cold=field(rules, "cold", int, 0),
+        cold_share=field(rules, "start_capacity", NUMBER, 1.0),
+        tip_multiple=field(rules, "tip_multiple", NUMBER, 1.0),
+        fall=field(rules, "fall", int, 1_000_000_000),
+        only_draining_binds=field(rules, "dropped_stay_open", bool, False),
+        tenants=tenants,
+        over_share_worth=field(env, "over_share_worth", NUMBER, 1.0),
+    )
+
+
+def read_member(entry: Any) -> api.Member:
+    """One line of a server list."""
+    return api.Member(
+        server=field(entry, "server", int),
+        zone=field(entry, "zone", str, ""),
+        group=field(entry, "shard", NUMBER, 0),
+        primary=field(entry, "head", NUMBER, 0) == 1,
+        state=word(entry, "mode", STATES),
+        weight=field(entry, "weight", NUMBER, 1.0),
+        started=field(entry, "up_since", int, 0),
+    )
+
+
+class Host:
+    """The gateways of one process: a router each, sharing nothing but the numbered lists of the wire."""
+
+    def __init__(self) -> None:
+        self.routers: dict[int, Router] = {}
+        self.zeros: dict[int, int] = {}
+        self.lists: dict[int, tuple[api.Member, ...]] = {}
+        self.readers = {
+            "call": self._request,
+            "settled": self._outcome,
+            "deadline_hit": lambda gateway, item: api.Timer(field(item, "handle", str)),
+            "checked": self._probed,
+            "topology": self._list,
+            "cancelled_by_client": lambda gateway, item: api.Gone(field(item, "rid", str)),
+            "headers": lambda gateway, item: api.Started(field(item, "rid", str)),
+        }
+
+    def batch(self, line: bytes) -> bytes:
+        """The reply to one batch."""
+        steps: list[dict[str, Any]] = []
+        try:
+            message = orjson.loads(line)
+            now, items = field(message, "now", int), field(message, "items", list)
+        except (orjson.JSONDecodeError, WireError) as problem:
+            print(f"yardbank: batch not understood: {problem}", file=sys.stderr)
+            return b'{"steps":[]}\n'
+        for item in items:
+            try:
+                self._item(now, item, steps)
+            except (WireError, ValueError) as problem:
+                print(f"yardbank: {problem}", file=sys.stderr)
+                gateway = item.get("gateway") if isinstance(item, dict) else None
+                if type(gateway) is int:
+                    steps.append({"kind": "die", "gateway": gateway, "msg": str(problem)})
+        return orjson.dumps({"steps": steps}) + b"\n"
+
+    def _item(self, now: int, item: Any, steps: list[dict[str, Any]]) -> None:
+        kind = field(item, "kind", str)
+        if kind == "snapshot_rows":
+            self.lists[field(item, "table", int)] = tuple(map(read_member, field(item, "members", list)))
+            return
+        gateway = field(item, "gateway", int)
+        if kind == "hello":
+            env = field(item, "env", dict)
+            self.routers[gateway] = Router(read_settings(field(item, "init_seed", int), env))
+            self.zeros[gateway] = field(env["domain"], "position_zero", int, 0)
+        elif kind == "destroy":
+            self.routers.pop(gateway, None)
+        elif kind in self.readers:
+            if gateway not in self.routers:
+                raise WireError(f"field 'gateway' names {gateway}, which has had no 'hello'")
+            for action in self.routers[gateway].handle(now, self.readers[kind](gateway, item)):
+                steps.append(WRITERS[type(action)](gateway, action))
+        elif kind != "memo":
+            raise WireError(f"field 'kind' has the unknown value '{kind}'")
+
+    def _request(self, gateway: int, item: Any) -> api.Request:
+        since = field(item, "since_write_ms", NUMBER, None)
+        return api.Request(
+            id=field(item, "rid", str),
+            group=field(item, "partition_no", NUMBER, 0),
+            class_name=field(item, "priority", str),
+            expires=field(item, "expires", int),
+            session=field(item, "session", str, None),
+            tenant=field(item, "customer", str, None) if item.get("customer") else None,
+            since_write=None if since is None else round(since * 1e6),
+        )
+
+    def _outcome(self, gateway: int, item: Any) -> api.Outcome:
+        mark = field(item, "mark", int, 0)
+        millis, role = mark >> 2, mark & 3
+        return api.Outcome(
+            id=field(item, "rid", str),
+            attempt=field(item, "trial", int),
+            server=field(item, "server", int),
+            status=word(item, "verdict", STATUS),
+            latency=field(item, "took", int, 0),
+            closed=field(item, "finished", bool),
+            role=api.Role(role if role < 3 else 0),
+            position=self.zeros[gateway] + millis * 1_000_000 if millis else None,
+            report=self._report(gateway, item),
+        )
+
+    def _probed(self, gateway: int, item: Any) -> api.Probed:
+        return api.Probed(
+            server=field(item, "server", int),
+            status=word(item, "verdict", STATUS),
+            latency=field(item, "took", int, 0),
+            report=self._report(gateway, item),
+        )
+
+    def _report(self, gateway: int, item: Any) -> api.Report | None:
+        gauge = field(item, "gauge", dict, None)
+        if gauge is None:
+            return None
+        seconds, primary = field(gauge, "x0", NUMBER, None), field(gauge, "x1", NUMBER, None)
+        return api.Report(
+            position=None if seconds is None else self.zeros[gateway] + int(seconds * 1e9),
+            primary=None if primary is None else primary == 1,
+        )
+
+    def _list(self, gateway: int, item: Any) -> api.ServerList:
+        kind = word(item, "scope", LISTS)
+        if kind == "failed":
+            return api.ServerList(kind)
+        table = field(item, "table", int)
+        if table not in self.lists:
+            raise WireError(f"field 'table' names list {table}, which was never sent")
+        return api.ServerList(kind, self.lists[table])
+
+
+WRITERS = {
+    api.Send: lambda gateway, a: {
+        "kind": "forward", "gateway": gateway, "rid": a.id, "server": a.server, "not_past": a.until,
+    },
+    api.Refuse: lambda gateway, a: {"kind": "busy", "gateway": gateway, "rid": a.id, "wait": a.retry_after},
+    api.Fail: lambda gateway, a: {"kind": "end_failed", "gateway": gateway, "rid": a.id},
+    api.Cancel: lambda gateway, a: {"kind": "abort_attempt", "gateway": gateway, "rid": a.id, "trial": a.attempt},
+    api.Probe: lambda gateway, a: {"kind": "sound_out", "gateway": gateway, "server": a.server},
+    api.SetTimer: lambda gateway, a: {"kind": "schedule", "gateway": gateway, "span": a.delay, "handle": a.token},
+    api.Subscribe: lambda gateway, a: {"kind": "watch", "gateway": gateway, "enable": True},
+}  # fmt: skip
+
+
+def main() -> None:
+    """Serve batches until the input ends."""
+    host = Host()
+    for line in sys.stdin.buffer:
+        sys.stdout.buffer.write(host.batch(line))
+        sys.stdout.buffer.flush()
+
+
+if __name__ == "__main__":
+    main()
