--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -23,6 +23,8 @@
 LIST_LAG = SECOND  # a changed list speaks of at least this long ago: hand-overs take about as long to be told
 PRIMARY_PENALTY = 3.0  # a primary takes reads only when replicas look this much dearer: writes have no other home
 FAR_PENALTY = 1.5  # another zone is chosen when the own zone looks this much dearer
+CALM = 0.25  # latency as a share of the aim, where nothing is known yet
+FULL_STRAIN = 0.4  # the mean share of the aim at which a server is full: the tail still makes its aim
 SILENT_WORK = 8.0  # a server is silent when its requests have together waited this many usual times...
 SILENT_TIME = 2.5  # ...and nothing has come back for this many
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
@@ -38,7 +40,8 @@
         self.primary_at = self.replica_at = -1  # when each role was last known to be true
         self.listed_primary = False
         self.drained = False
-        self.pace, self.paced_at = 1.0, now  # its answers' latency against the usual for their class
+        self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
+        self.limit = 8.0  # how much may be outstanding there; what is over waits here, where it can be ordered
         self.waiting: dict[tuple[str, int], Attempt] = {}
         self.answered_at = now
         self.failures, self.retry_at, self.silent = 0, 0, False
@@ -90,7 +93,7 @@
         self.servers: dict[int, Server] = {}
         self.groups: dict[int, list[Server]] = {}
         self.requests: dict[str, Held] = {}
-        self.waiting: dict[str, Held] = {}  # held with nothing out
+        self.waiting: dict[int, dict[str, dict[str, Held]]] = {}  # held with nothing out, by group and class
         self.tokens: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
         self.sweep_every = max(4 * settings.period, 10 * MS)
@@ -136,7 +139,6 @@
             if member.primary and not server.listed_primary:
                 server.primary_at = max(server.primary_at, self.now - LIST_LAG if event.kind == "delta" else 0)
             server.listed_primary, server.drained = member.primary, member.state == "draining"
-        self.route_waiting()
 
     def drop(self, server: Server) -> None:
         """A server has left the list: nothing new goes to it, what is out there may still answer."""
@@ -184,19 +186,20 @@
         elif event.status == "miss":
             server.lag = max(server.lag, self.now - need + MS)
 
-    def answered(self, server: Server, attempt: Attempt, latency: int) -> None:
-        """An answer ends every doubt about a server and sets its pace."""
-        server.failures, server.retry_at, server.silent = 0, 0, False
-        name = attempt.held.kind.name
-        ratio = min(latency / self.usual[name], 10.0)
-        weight = 0.1 + 0.4 * (1 - exp((server.paced_at - self.now) / (2 * SECOND)))
-        server.pace += weight * (ratio - server.pace)
-        server.paced_at = self.now
-        self.usual[name] += 0.02 * (latency - self.usual[name])
-
-    def pace_of(self, server: Server) -> float:
-        """A pace grows old: a server unheard for seconds counts as usual again, so that it is tried again."""
-        return 1 + (server.pace - 1) * exp((server.paced_at - self.now) / (4 * SECOND))
+    def answered(self, server: Server, kind: RequestClass, latency: int) -> None:
+        """An answer sets the server's strain, and by it how much may be outstanding there."""
+        weight = 0.1 + 0.4 * (1 - exp((server.strained_at - self.now) / (2 * SECOND)))
+        server.strain += weight * (min(latency / kind.aim, 4.0) - server.strain)
+        server.strained_at = self.now
+        self.usual[kind.name] += 0.02 * (latency - self.usual[kind.name])
+        if server.strain > FULL_STRAIN:
+            server.limit = max(1.0, 0.95 * server.limit)
+        elif 2 * len(server.waiting) >= server.limit:
+            server.limit += 1 / server.limit
+
+    def strain_of(self, server: Server) -> float:
+        """Strain grows old: a server unheard for seconds counts as calm again, so that it is tried again."""
+        return CALM + (server.strain - CALM) * exp((server.strained_at - self.now) / (4 * SECOND))
 
     def doubt(self, server: Server, silent: bool) -> None:
         """Stay away from a server for a while that doubles each time."""
@@ -211,7 +214,7 @@
         """A hung server takes work and answers nothing; only one's own requests out there can tell."""
         oldest = next(iter(server.waiting.values()))
         since = max(server.answered_at, oldest.sent_at)
-        usual = self.usual[oldest.held.kind.name] * max(1.0, self.pace_of(server))
+        usual = oldest.held.kind.aim * max(CALM, self.strain_of(server))
         if self.now - since < SILENT_TIME * usual:
             return
         waited = sum(min(self.now - since, self.now - a.sent_at) for a in server.waiting.values())
@@ -270,27 +273,33 @@
 
     def cost(self, server: Server, primary: Server | None) -> float:
         """What a further request may expect to wait there, in usual latencies; chance turns over equals."""
-        cost = (len(server.waiting) + 1) * self.pace_of(server) / self.warmth(server)
+        cost = (len(server.waiting) + 1) * self.strain_of(server) / self.warmth(server)
         cost *= 1 + 0.2 * self.random.random()
         if server.zone != self.set.zone:
             cost *= FAR_PENALTY
         return cost * PRIMARY_PENALTY if server is primary else cost
 
+    def has_room(self, server: Server, only_here: bool) -> bool:
+        """Outstanding stays under the limit; reads that others could serve leave half of a primary to writes."""
+        limit = server.limit if only_here or not server.is_primary() else server.limit / 2
+        return len(server.waiting) < max(1.0, limit) and self.cold_allows(server)
+
     def pick(self, held: Held) -> Server | None:
         """The server for the next attempt, or none for now."""
         primary = self.primary(held.group)
         if held.kind.read == "write" or held.kind.read == "fresh":
-            return primary if primary and self.cold_allows(primary) and primary.id not in held.tried else None
+            return primary if primary and self.has_room(primary, True) and primary.id not in held.tried else None
         need = self.needed(held, self.now)
         able = [
             s for s in self.groups.get(held.group, ())
             if not s.drained and s.id not in held.tried and (s is primary or self.recent_enough(s, need))
         ]  # fmt: skip
-        well = [s for s in able if s.retry_at == 0 and self.cold_allows(s)]
+        well = [s for s in able if s.retry_at == 0]
         trial = [s for s in able if s.retry_at and self.now >= s.retry_at and not s.waiting]
         if trial and well and held.attempts == 0:
             return trial[0]
-        return min(well or trial or able, key=lambda s: self.cost(s, primary), default=None)
+        room = [s for s in well or trial or able if self.has_room(s, False)]
+        return min(room, key=lambda s: self.cost(s, primary), default=None)
 
     # What becomes of a request
 
@@ -326,12 +335,9 @@
         if server and held.ran_at is not None and held.kind.effect == "keyed" and held.kind.scope == "zone":
             server = server if server.zone == held.ran_zone else None
         if server is None:
-            self.waiting[held.id] = held
-            held.tried.clear()
-            if self.now >= held.expires - 2 * self.sweep_every:
-                self.give_up(held)
+            self.hold(held)
             return
-        self.waiting.pop(held.id, None)
+        self.unhold(held)
         attempt = Attempt(held, server, self.now, held.attempts)
         server.waiting[held.id, held.attempts] = attempt
         server.sent, server.sent_at = server.sends(self.now, self.set.fall) + 1, self.now
@@ -340,10 +346,30 @@
         held.attempts, held.out = held.attempts + 1, held.out + 1
         self.out.append(Send(held.id, server.id, held.expires))
 
+    def hold(self, held: Held) -> None:
+        """Keep a request back until there is room, but only while it can still be worth something."""
+        held.tried.clear()
+        left = held.arrived + held.kind.aim - self.now - self.usual[held.kind.name]
+        hopeless = left < 0 and held.kind.late_worth == 0
+        if hopeless or self.now >= held.expires - 2 * self.sweep_every:
+            self.give_up(held)
+        else:
+            kinds = self.waiting.setdefault(held.group, {name: {} for name in self.order()})
+            kinds[held.kind.name][held.id] = held
+
+    def unhold(self, held: Held) -> None:
+        """It waits no longer."""
+        if held.group in self.waiting:
+            self.waiting[held.group][held.kind.name].pop(held.id, None)
+
+    def order(self) -> list[str]:
+        """Classes by worth for their work, the most first."""
+        return sorted(self.kinds, key=lambda name: -self.kinds[name].worth / self.usual[name])
+
     def give_up(self, held: Held) -> None:
         """The final answer at once: a refusal where it is true that trying again is harmless, else a failure."""
         self.requests.pop(held.id, None)
-        self.waiting.pop(held.id, None)
+        self.unhold(held)
         kind = held.kind
         harmless = held.ran_at is None and not held.out
         if kind.effect == "safe" or harmless or kind.effect == "keyed" and kind.scope == "all":
@@ -368,7 +394,15 @@
             elif event.status in ("ok", "miss", "error", "full") and attempt:
                 server.failures, server.retry_at, server.silent = 0, 0, False
                 if event.status == "ok":
-                    self.answered(server, attempt, event.latency)
+                    self.answered(server, attempt.held.kind, event.latency)
+                elif event.status == "full":
+                    server.limit = max(1.0, 0.9 * min(server.limit, len(server.waiting) + 1))
+        self.settle(event, server, attempt)
+        if server:
+            self.route_waiting(server.group)
+
+    def settle(self, event: Outcome, server: Server | None, attempt: Attempt | None) -> None:
+        """What the end of an attempt means for its request."""
         held = self.requests.get(event.id)
         if held is None:
             return
@@ -377,7 +411,6 @@
             self.remember(held, event.position or self.now)
         if event.closed:
             self.requests.pop(held.id, None)
-            self.waiting.pop(held.id, None)
             return
         if event.status not in NEVER_RAN and held.ran_at is None:
             held.ran_at = attempt.sent_at if attempt else self.now - event.latency
@@ -394,8 +427,9 @@
 
     def on_gone(self, event: Gone) -> None:
         """The client has left: what is out is let be, its answers still teach."""
-        self.requests.pop(event.id, None)
-        self.waiting.pop(event.id, None)
+        held = self.requests.pop(event.id, None)
+        if held:
+            self.unhold(held)
 
     def on_started(self, event: Started) -> None:
         """The answer has begun: the client has it."""
@@ -413,7 +447,7 @@
             self.learn_report(server, event.report)
             if server.retry_at and not server.silent:
                 server.failures, server.retry_at = 0, 0
-            self.route_waiting()
+            self.route_waiting(server.group)
         else:
             self.doubt(server, silent=False)
 
@@ -427,10 +461,17 @@
             server.probe_at = self.now + (SEEK_EVERY if seeking else self.stale_after)
             self.out.append(Probe(server.id))
 
-    def route_waiting(self) -> None:
-        """Try again what is held."""
-        for held in list(self.waiting.values()):
-            self.route(held)
+    def route_waiting(self, group: int) -> None:
+        """Try again what is held, the most worth for its work first; a class that finds no room ends its turn."""
+        for kinds in [self.waiting[group]] if group in self.waiting else []:
+            for name in self.order():
+                stuck = 0
+                for held in list(kinds[name].values()):
+                    before = len(self.out)
+                    self.route(held)
+                    stuck += len(self.out) == before
+                    if stuck > 2:
+                        break
 
     def on_timer(self, event: Timer) -> None:
         """The sweep: silence, probes, held requests, old tokens."""
@@ -442,7 +483,9 @@
                     self.check_silence(server)
                 if self.set.may_probe:
                     self.probe(server, seeking)
-        self.route_waiting()
+            for held in [h for kind in self.waiting.get(group, {}).values() for h in kind.values()]:
+                self.hold(held)
+            self.route_waiting(group)
         while self.tokens:
             session, (position, group) = next(iter(self.tokens.items()))
             if position > self.now - TOKEN_LIFE:
