Count unanswered time as strain, let a full server rest, do not send hopeless work

Covers every kind of slowness, own or shared. Could hurt where one class's latency says little about another's.

--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -41,7 +41,8 @@
         self.listed_primary = False
         self.drained = False
         self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
-        self.limit = 8.0  # how much may be outstanding there; what is over waits here, where it can be ordered
+        self.rest_until = 0  # it was full a moment ago
+        self.limit = 4.0  # how much may be outstanding there; what is over waits here, where it can be ordered
         self.waiting: dict[tuple[str, int], Attempt] = {}
         self.answered_at = now
         self.failures, self.retry_at, self.silent = 0, 0, False
@@ -191,7 +192,6 @@
         weight = 0.1 + 0.4 * (1 - exp((server.strained_at - self.now) / (2 * SECOND)))
         server.strain += weight * (min(latency / kind.aim, 4.0) - server.strain)
         server.strained_at = self.now
-        self.usual[kind.name] += 0.02 * (latency - self.usual[kind.name])
         if server.strain > FULL_STRAIN:
             server.limit = max(1.0, 0.95 * server.limit)
         elif 2 * len(server.waiting) >= server.limit:
@@ -281,6 +281,8 @@
 
     def has_room(self, server: Server, only_here: bool) -> bool:
         """Outstanding stays under the limit; reads that others could serve leave half of a primary to writes."""
+        if self.now < server.rest_until:
+            return False
         limit = server.limit if only_here or not server.is_primary() else server.limit / 2
         return len(server.waiting) < max(1.0, limit) and self.cold_allows(server)
 
@@ -328,7 +330,7 @@
 
     def route(self, held: Held) -> None:
         """Send a request now, hold it, or give it up."""
-        if not self.may_resend(held):
+        if not self.may_resend(held) or self.hopeless(held):
             self.give_up(held)
             return
         server = self.pick(held)
@@ -346,12 +348,15 @@
         held.attempts, held.out = held.attempts + 1, held.out + 1
         self.out.append(Send(held.id, server.id, held.expires))
 
+    def hopeless(self, held: Held) -> bool:
+        """It can no longer be answered while that is worth something: its work would only delay others."""
+        useful = held.expires if held.kind.late_worth else min(held.expires, held.arrived + held.kind.aim)
+        return self.now + self.usual[held.kind.name] > useful
+
     def hold(self, held: Held) -> None:
         """Keep a request back until there is room, but only while it can still be worth something."""
         held.tried.clear()
-        left = held.arrived + held.kind.aim - self.now - self.usual[held.kind.name]
-        hopeless = left < 0 and held.kind.late_worth == 0
-        if hopeless or self.now >= held.expires - 2 * self.sweep_every:
+        if self.hopeless(held) or self.now >= held.expires - 2 * self.sweep_every:
             self.give_up(held)
         else:
             kinds = self.waiting.setdefault(held.group, {name: {} for name in self.order()})
@@ -393,10 +398,14 @@
                 self.doubt(server, silent=False)
             elif event.status in ("ok", "miss", "error", "full") and attempt:
                 server.failures, server.retry_at, server.silent = 0, 0, False
-                if event.status == "ok":
-                    self.answered(server, attempt.held.kind, event.latency)
-                elif event.status == "full":
+                if event.status == "full":  # refused work costs it too: let it rest for about one answer
                     server.limit = max(1.0, 0.9 * min(server.limit, len(server.waiting) + 1))
+                    server.rest_until = self.now + int(self.strain_of(server) * attempt.held.kind.aim)
+            if attempt and event.status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
+                self.answered(server, attempt.held.kind, event.latency)
+                if event.status == "ok":
+                    name = attempt.held.kind.name
+                    self.usual[name] += 0.02 * (event.latency - self.usual[name])
         self.settle(event, server, attempt)
         if server:
             self.route_waiting(server.group)
