Late work waits behind work that can still make its aim

Told from a slow server by fair latencies of what was sent. Covers any overload; hurts nothing while nothing is held.

--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -94,7 +94,7 @@
         self.servers: dict[int, Server] = {}
         self.groups: dict[int, list[Server]] = {}
         self.requests: dict[str, Held] = {}
-        self.waiting: dict[int, dict[str, dict[str, Held]]] = {}  # held with nothing out, by group and class
+        self.waiting: dict[int, dict[tuple[str, bool], dict[str, Held]]] = {}  # by group, then class and lateness
         self.tokens: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
         self.sweep_every = max(4 * settings.period, 10 * MS)
@@ -359,17 +359,23 @@
         if self.hopeless(held) or self.now >= held.expires - 2 * self.sweep_every:
             self.give_up(held)
         else:
-            kinds = self.waiting.setdefault(held.group, {name: {} for name in self.order()})
-            kinds[held.kind.name][held.id] = held
+            kinds = self.waiting.setdefault(held.group, {key: {} for key in self.order()})
+            late = self.now + self.usual[held.kind.name] > held.arrived + held.kind.aim
+            if late:
+                kinds[held.kind.name, False].pop(held.id, None)
+            kinds[held.kind.name, late][held.id] = held
 
     def unhold(self, held: Held) -> None:
         """It waits no longer."""
         if held.group in self.waiting:
-            self.waiting[held.group][held.kind.name].pop(held.id, None)
+            for late in (False, True):
+                self.waiting[held.group][held.kind.name, late].pop(held.id, None)
 
-    def order(self) -> list[str]:
-        """Classes by worth for their work, the most first."""
-        return sorted(self.kinds, key=lambda name: -self.kinds[name].worth / self.usual[name])
+    def order(self) -> list[tuple[str, bool]]:
+        """Classes, in time and late, by worth for their work, the most first: late work must not make more late."""
+        worth = {(kind.name, late): kind.worth * (kind.late_worth if late else 1) / self.usual[kind.name]
+                 for kind in self.set.classes for late in (False, True)}  # fmt: skip
+        return sorted(worth, key=lambda key: -worth[key])
 
     def give_up(self, held: Held) -> None:
         """The final answer at once: a refusal where it is true that trying again is harmless, else a failure."""
@@ -473,9 +479,9 @@
     def route_waiting(self, group: int) -> None:
         """Try again what is held, the most worth for its work first; a class that finds no room ends its turn."""
         for kinds in [self.waiting[group]] if group in self.waiting else []:
-            for name in self.order():
+            for key in self.order():
                 stuck = 0
-                for held in list(kinds[name].values()):
+                for held in list(kinds[key].values()):
                     before = len(self.out)
                     self.route(held)
                     stuck += len(self.out) == before
