--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,17 @@
 """A small world for the router's tests: settings, servers and shorthand for events."""
 
-from yardbank.interface import Member, Outcome, Probed, Report, Request, RequestClass, Role, ServerList, Settings, Timer
+from yardbank.interface import (
+    Member,
+    Outcome,
+    Probed,
+    Report,
+    Request,
+    RequestClass,
+    Role,
+    ServerList,
+    Settings,
+    Timer,
+)
 from yardbank.policy import Router
 
 MS = 1_000_000
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,97 @@
+"""The adapter's pipe: replies only on standard output, plain messages for malformed input."""
+
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+ENV = {
+    "ceilings": {"cancel": True, "probes": True, "max_attempts": 4, "retry_after": True, "max_retry_after": 10**9},
+    "domain": {
+        "checks": "bounce", "class_read": ["causal", "mutate"], "lag_allowed": [0, 0], "position_zero": 0,
+        "session_marks": "brought", "tells_position": False,
+    },
+    "fleet_size": 1, "period": 5000000, "reporting": {"via": "pull"}, "unknown": {"skip": 1}, "zone": "z",
+    "rules": {"cold": 10**10, "fall": 10**9, "start_capacity": 0.3, "tip_multiple": 2.5},
+    "services": [
+        {"aim": 5 * 10**8, "credit": 1, "effect": "pure", "hard_limit": 10**9, "late_worth": 0, "name": "look"},
+        {"aim": 5 * 10**8, "credit": 3, "effect": "side_effect", "hard_limit": 10**9, "late_worth": 0.5,
+         "name": "commit"},
+    ],
+}  # fmt: skip
+ROWS = [
+    {"server": 11, "zone": "z", "type": "k", "shard": 0, "head": 1, "mode": "live", "weight": 1, "up_since": None},
+    {"server": 12, "zone": "z", "type": "k", "shard": 0, "head": 0, "mode": "live", "weight": 1, "up_since": None},
+]
+START = [
+    {"kind": "hello", "gateway": 3, "init_seed": 5, "env": ENV},
+    {"kind": "snapshot_rows", "table": 0, "members": ROWS},
+    {"kind": "topology", "gateway": 3, "scope": "SAVED", "stamp": 1, "table": 0},
+]
+CALL = {
+    "kind": "call", "gateway": 3, "rid": "r", "work": None, "mutates": False, "customer": None, "is_retry": False,
+    "since_write_ms": 0, "expires": 2 * 10**9, "priority": "look", "session": "aa", "partition_no": 0, "extra": 1,
+}  # fmt: skip
+
+
+def pipe(*lines):
+    text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
+    done = subprocess.run(
+        [sys.executable, "-m", "yardbank.adapter"], input=text, capture_output=True, text=True, cwd=ROOT, check=False
+    )
+    assert done.returncode == 0 and "Traceback" not in done.stderr
+    return [json.loads(line)["steps"] for line in done.stdout.splitlines()], done.stderr
+
+
+def test_a_request_is_sent_and_answered():
+    ok = {"kind": "settled", "gateway": 3, "rid": "r", "trial": 0, "server": 12, "verdict": "Ok", "took": 10**7,
+          "finished": True, "mark": 2, "gauge": None}  # fmt: skip
+    replies, errors = pipe(
+        {"now": 0, "items": []},
+        {"now": 10**9, "items": START},
+        {"now": 10**9, "items": [CALL]},
+        {"now": 10**9 + 10**7, "items": [ok, {"kind": "cancelled_by_client", "gateway": 3, "rid": "r"}]},
+        {"now": 10**9 + 10**7, "items": [{"kind": "destroy", "gateway": 3}, *START]},
+    )
+    assert errors == "" and replies[0] == []
+    sends = [step for step in replies[2] if step["kind"] == "forward"]
+    assert sends == [{"kind": "forward", "gateway": 3, "rid": "r", "server": 12, "not_past": 2 * 10**9}]
+    assert [step["kind"] for step in replies[4]] == ["schedule"]
+
+
+def test_malformed_lines_are_told_plainly():
+    replies, errors = pipe(
+        "not json",
+        {"now": "soon", "items": []},
+        {"now": 10**9, "items": START},
+        {"now": 10**9, "items": [{**CALL, "expires": None}]},
+        {"now": 10**9, "items": [{**CALL, "expires": "later"}]},
+        {"now": 10**9, "items": [{"kind": "riddle", "gateway": 3}]},
+        {"now": 10**9, "items": [{**CALL, "priority": "unheard-of"}]},
+        {"now": 10**9, "items": [7]},
+        {"now": 10**9, "items": [CALL]},
+    )
+    assert replies[0] == replies[1] == replies[7] == []
+    for reply, name in zip(replies[3:7], ["expires", "expires", "kind", "class_name"], strict=True):
+        assert [step["kind"] for step in reply] == ["die"] and name in reply[0]["msg"]
+    assert "'now'" in errors and "forward" in [step["kind"] for step in replies[8]]
+
+
+def test_bad_settings_name_the_field():
+    start = [{**START[0], "env": {**ENV, "zone": 4}}]
+    replies, errors = pipe({"now": 1, "items": start})
+    assert [step["kind"] for step in replies[0]] == ["die"] and "zone" in errors
+
+
+def test_readme_example_runs():
+    code = re.search(r"```python\n(.*?)```", (ROOT / "README.md").read_text(), re.S).group(1)
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert done.stdout.split("\n")[:2] == ["1", "[1]"]
+
+
+def test_module_keeps_within_its_size():
+    lines = (ROOT / "yardbank" / "policy.py").read_text().splitlines()
+    assert sum(1 for line in lines if line.strip()) <= 400
+    assert max(map(len, lines)) <= 110
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,281 @@
+"""The router's decisions: the rule, the five rules of service, and each failure found."""
+
+import pytest
+
+from tests.helpers import CLASSES, MS, SECOND, Member, Report, Role, World, group
+from yardbank.interface import (
+    Cancel,
+    Fail,
+    Gone,
+    Outcome,
+    Probe,
+    Probed,
+    Refuse,
+    RequestClass,
+    Send,
+    ServerList,
+    Settings,
+    Timer,
+)
+
+
+def sent(world):
+    return [action.server for action in world.of(Send)]
+
+
+def test_session_read_follows_its_token():
+    world = World(reports="probe")
+    world.known(1, primary=True)
+    for server in (2, 3):
+        world.known(server, lag=MS)
+    world.ask("w", "commit", session="s")
+    assert sent(world) == [1]
+    world.end("w", 1, role=Role.PRIMARY, position=world.now + 20 * MS)
+    world.ask("r1", "status", session="s")
+    assert sent(world) == [1]  # no replica is known to have the write
+    world.known(3, lag=0)
+    world.ask("r2", "status", session="s")
+    assert sent(world) == [3]
+    world.ask("r3", "status", session="another")
+    assert sent(world)[0] in (2, 3)
+
+
+def test_carried_token_and_checking_replica():
+    world = World(tokens="carried", checks="refuse")
+    world.ask("r", "status", since_write=400 * MS)
+    first = sent(world)[0]
+    assert first in (2, 3)
+    world.end("r", first, "miss", role=Role.REPLICA)
+    second = sent(world)[0]
+    assert second != first
+    world.ask("r2", "status", since_write=400 * MS)
+    assert sent(world)[0] != first  # known to be behind now
+
+
+def test_bounded_read_avoids_an_unproven_or_lagging_replica_where_servers_do_not_check():
+    world = World()
+    world.ask("r1", "lookup")
+    assert sent(world) == [1]
+    world.known(2, lag=2 * SECOND)
+    world.known(3, lag=100 * MS)
+    for index in range(4):
+        world.ask(f"x{index}", "lookup")
+        assert sent(world) == [3]
+
+
+def test_position_beyond_the_clock_proves_nothing():
+    world = World()
+    world.feed(Probed(2, "ok", MS, Report(world.now + SECOND, False)))
+    world.ask("r", "lookup")
+    assert sent(world) == [1]
+
+
+def test_own_zone_first():
+    world = World([Member(1, "b", 0, True, "ready"), Member(2, "a", 0, False, "ready"),
+                   Member(3, "b", 0, False, "ready")])  # fmt: skip
+    for index in range(5):
+        world.ask(f"r{index}", "any")
+        assert sent(world) == [2]
+        world.end(f"r{index}", 2, role=Role.REPLICA)
+
+
+def test_reads_stay_off_the_primary_and_turn_over():
+    world = World(group(3))
+    for server in (2, 3, 4):
+        world.known(server)
+    seen = set()
+    for index in range(12):
+        world.ask(f"r{index}", "lookup")
+        seen |= set(sent(world))
+    assert seen == {2, 3, 4}
+
+
+def test_primary_by_freshest_evidence():
+    world = World()
+    world.end("none", 1, "miss", role=Role.REPLICA)
+    world.ask("w", "commit", session="s")
+    assert sent(world) == []  # unknown: held
+    world.known(3, primary=True)
+    assert sent(world) == [3]
+
+
+def test_two_claim_to_be_primary():
+    world = World()
+    world.known(2, lag=300 * MS, primary=True)
+    world.known(3, lag=100 * MS, primary=True)
+    world.ask("w", "commit")
+    assert sent(world) == [3]
+
+
+def test_hung_primary_holds_writes_and_is_sought_by_probes():
+    world = World()
+    world.known(1, primary=True)
+    for index in range(4):
+        world.ask(f"w{index}", "commit")
+        assert sent(world) == [1]
+    probed = set()
+    for _ in range(80):
+        world.tick()
+        probed |= {action.server for action in world.of(Probe)}
+    world.ask("later", "commit")
+    assert sent(world) == []
+    assert probed == {1, 2, 3}
+    world.known(2, primary=True)
+    assert sent(world) == [2]
+
+
+def test_reads_leave_a_silent_server():
+    world = World()
+    for server in (2, 3):
+        world.known(server)
+    for index in range(8):
+        world.ask(f"r{index}", "any", left=5 * SECOND)
+    out = {f"r{index}" for index in range(8)}
+    cancelled = []
+    for _ in range(60):
+        world.tick()
+        cancelled += [action.id for action in world.of(Cancel)]
+    assert cancelled and set(cancelled) <= out and len(cancelled) == len(set(cancelled))
+
+
+def test_unsafe_write_that_may_have_run_is_never_resent_nor_refused():
+    for status in ("timeout", "reset", "error", "cancelled"):
+        world = World()
+        world.ask("w", "commit")
+        world.end("w", 1, status)
+        assert world.of(Send) == [] and world.of(Refuse) == [] and len(world.of(Fail)) == 1
+
+
+def test_unsafe_write_that_never_ran_goes_on():
+    world = World()
+    world.ask("w", "commit")
+    world.end("w", 1, "miss", role=Role.REPLICA)
+    assert world.of(Fail) == []
+    world.known(2, primary=True)
+    assert sent(world) == [2]
+
+
+def test_keyed_write_is_resent_only_inside_its_window():
+    world = World()
+    world.known(1, primary=True)
+    world.ask("k", "keyed")
+    world.end("k", 1, "error", role=Role.PRIMARY)
+    world.tick()
+    resent = sent(world)
+    assert resent in ([], [1])
+    world = World()
+    world.ask("k", "keyed")
+    world.end("k", 1, "reset", after=1300 * MS)
+    assert sent(world) == [] and world.of(Refuse) == [] and len(world.of(Fail)) == 1
+
+
+def test_draining_and_gone_servers_get_nothing_new():
+    for state in ("draining", "gone"):
+        world = World()
+        for server in (2, 3):
+            world.known(server)
+        world.feed(ServerList("delta", (Member(2, "a", 0, False, state),)))
+        for index in range(6):
+            world.ask(f"r{index}", "any")
+            assert 2 not in sent(world)
+
+
+def test_gone_may_still_be_sent_to_where_only_draining_binds():
+    world = World(group(1), only_draining_binds=True)
+    world.known(2)
+    world.feed(ServerList("delta", (Member(2, "a", 0, False, "gone"),)))
+    world.ask("r", "any")
+    assert sent(world) == [2]
+
+
+def test_cold_server_gets_no_more_than_its_share():
+    world = World(group(3))
+    for server in (2, 3, 4):
+        world.known(server)
+    world.feed(ServerList("delta", (Member(4, "a", 0, False, "ready", 1.0, world.now),)))
+    for index in range(12):
+        world.ask(f"r{index}", "any")
+    counts = {s.id: len(s.waiting) for s in world.router.servers.values()}
+    assert counts[4] <= max(1, 0.3 * max(counts[2], counts[3]))
+
+
+def test_hold_is_refused_in_time_with_a_retry_after():
+    world = World()
+    world.end("none", 1, "miss", role=Role.REPLICA)
+    world.ask("w", "commit", left=400 * MS)
+    expires = world.now + 400 * MS
+    answers = []
+    while world.now < expires:
+        world.tick()
+        answers += world.of(Refuse)
+    assert [answer.id for answer in answers] == ["w"] and answers[0].retry_after > 0
+
+
+def test_full_server_rests_and_its_request_goes_elsewhere_or_waits():
+    world = World(group(1))
+    world.known(2)
+    world.ask("r", "any")
+    assert sent(world) == [2]
+    world.end("r", 2, "full", after=MS)
+    assert 2 not in sent(world)
+
+
+def test_late_work_waits_behind_work_in_time():
+    world = World(group(0))
+    world.known(1, primary=True)
+    world.router.servers[1].limit = 1.0
+    world.ask("first", "commit", left=3 * SECOND)
+    world.ask("old", "commit", left=3 * SECOND)
+    for _ in range(5):
+        world.tick(100 * MS)
+    world.ask("new", "commit", left=3 * SECOND)
+    world.router.servers[1].silent, world.router.servers[1].retry_at = False, 0
+    world.end("first", 1, role=Role.PRIMARY, after=MS)
+    assert [action.id for action in world.of(Send)] == ["new"]
+
+
+def test_late_contradictory_and_empty_facts_are_legal():
+    world = World()
+    world.feed(Outcome("unknown", 0, 99, "ok", MS, True))
+    world.feed(Probed(99, "ok", MS))
+    world.feed(Timer("not mine any more"))
+    world.feed(Gone("unknown"))
+    world.feed(ServerList("full", ()))
+    world.ask("r", "any")
+    assert sent(world) == []
+    world.ask("past", "any", left=-SECOND)
+    assert len(world.of(Refuse)) == 1
+
+
+def test_client_that_left_is_owed_nothing():
+    world = World()
+    world.ask("w", "commit")
+    world.feed(Gone("w"))
+    world.end("w", 1, "timeout")
+    assert world.of(Fail) == [] and world.of(Refuse) == []
+
+
+def test_state_stays_bounded():
+    world = World()
+    world.known(1, primary=True)
+    for index in range(200):
+        world.ask(f"w{index}", "commit", session=f"s{index}", after=SECOND)
+        world.end(f"w{index}", 1, role=Role.PRIMARY, position=world.now)
+        world.tick()
+    assert len(world.router.tokens) < 70 and not world.router.requests
+    assert world.router.floors[0] > 0
+
+
+@pytest.mark.parametrize(
+    ("settings", "text"),
+    [({"checks": "maybe"}, "checks"), ({"classes": ()}, "classes"), ({"gateways": 0}, "gateways"),
+     ({"cold_share": 0}, "cold_share")],
+)  # fmt: skip
+def test_settings_are_checked_by_name(settings, text):
+    with pytest.raises(ValueError, match=text):
+        Settings(**({"seed": 1, "zone": "a", "gateways": 1, "classes": CLASSES} | settings))
+
+
+def test_class_is_checked_by_name():
+    with pytest.raises(ValueError, match="effect"):
+        RequestClass("x", 1, 1, 1, 0, "perhaps")
