--- a/tests/__init__.py
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of yardbank; no bench needed."""
--- a/yardbank/adapter.py
+++ b/yardbank/adapter.py
@@ -21,9 +21,16 @@
 STATES = {"live": "ready", "quiescing": "draining", "dead": "gone"}
 LISTS = {"INCREMENTAL": "delta", "FULL": "full", "SAVED": "saved", "FAILED": "failed"}
 STATUS = {
-    "Ok": "ok", "Failed": "error", "QueueFull": "full", "TimedOut": "timeout", "ConnectError": "connect_failed",
-    "ResetByPeer": "reset", "Canceled": "cancelled", "Ignored": "moot", "Miss": "miss",
-}  # fmt: skip
+    "Ok": "ok",
+    "Failed": "error",
+    "QueueFull": "full",
+    "TimedOut": "timeout",
+    "ConnectError": "connect_failed",
+    "ResetByPeer": "reset",
+    "Canceled": "cancelled",
+    "Ignored": "moot",
+    "Miss": "miss",
+}
 NUMBER = (int, float)
 MISSING = object()
 
@@ -97,8 +104,7 @@
         second_copies=field(limits, "second_copies", bool, False),
         may_cancel=field(limits, "cancel", bool, False),
         may_probe=field(limits, "probes", bool, False),
-        may_advise=field(limits, "retry_after", bool, False),
-        max_retry_after=field(limits, "max_retry_after", int, 0),
+        max_retry_after=field(limits, "max_retry_after", int, 0) if limits.get("retry_after") else 0,
         subscribe=field(env, "registry_mode", str, "automatic") == "subscribe",
         drain_grace=field(rules, "drain_grace", int, 0),
         answer_grace=field(rules, "grace_to_answer", int, 0),
@@ -238,15 +244,29 @@
 
 WRITERS = {
     api.Send: lambda gateway, a: {
-        "kind": "forward", "gateway": gateway, "rid": a.id, "server": a.server, "not_past": a.until,
+        "kind": "forward",
+        "gateway": gateway,
+        "rid": a.id,
+        "server": a.server,
+        "not_past": a.until,
     },
     api.Refuse: lambda gateway, a: {"kind": "busy", "gateway": gateway, "rid": a.id, "wait": a.retry_after},
     api.Fail: lambda gateway, a: {"kind": "end_failed", "gateway": gateway, "rid": a.id},
-    api.Cancel: lambda gateway, a: {"kind": "abort_attempt", "gateway": gateway, "rid": a.id, "trial": a.attempt},
+    api.Cancel: lambda gateway, a: {
+        "kind": "abort_attempt",
+        "gateway": gateway,
+        "rid": a.id,
+        "trial": a.attempt,
+    },
     api.Probe: lambda gateway, a: {"kind": "sound_out", "gateway": gateway, "server": a.server},
-    api.SetTimer: lambda gateway, a: {"kind": "schedule", "gateway": gateway, "span": a.delay, "handle": a.token},
+    api.SetTimer: lambda gateway, a: {
+        "kind": "schedule",
+        "gateway": gateway,
+        "span": a.delay,
+        "handle": a.token,
+    },
     api.Subscribe: lambda gateway, a: {"kind": "watch", "gateway": gateway, "enable": True},
-}  # fmt: skip
+}
 
 
 def main() -> None:
--- a/yardbank/interface.py
+++ b/yardbank/interface.py
@@ -60,8 +60,7 @@
     second_copies: bool = False
     may_cancel: bool = False
     may_probe: bool = False
-    may_advise: bool = False  # a refusal may carry a retry-after
-    max_retry_after: int = 0
+    max_retry_after: int = 0  # the longest retry-after a refusal may carry; 0: none
     subscribe: bool = False  # the list must be asked for
     drain_grace: int = 0
     answer_grace: int = 0
