--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -201,7 +201,7 @@
         """A hung server takes work and answers nothing; only one's own requests out there can tell."""
         oldest = next(iter(server.waiting.values()))
         since = max(server.answered_at, oldest.sent_at)
-        strain = CALM if server.silent else min(1.0, max(CALM, self.strain_of(server)))  # a trial is kept short
+        strain = CALM if server.silent else min(1.0, max(CALM, self.strain_of(server)))  # trials are short
         usual = oldest.held.kind.aim * strain
         if self.now - since < SILENT_TIME * usual:
             return
@@ -278,8 +278,7 @@
 
     def on_request(self, request: api.Request) -> None:
         """Route a new request by its token."""
-        kind = self.kinds.get(request.class_name)
-        if kind is None:
+        if (kind := self.kinds.get(request.class_name)) is None:
             raise ValueError(f"class_name: {request.class_name!r} is not in the settings")
         held = self.requests[request.id] = Held(request, kind, self.now)
         if kind.read == "fresh":
@@ -347,7 +346,8 @@
         self.unhold(held)
         kind, harmless = held.kind, held.ran_at is None
         if kind.effect == "safe" or harmless or (kind.effect == "keyed" and kind.scope == "all"):
-            self.out.append(api.Refuse(held.request.id, min(self.set.max_retry_after, BACKOFF)))
+            wait = BACKOFF if kind.late_worth else kind.deadline  # sooner is late again
+            self.out.append(api.Refuse(held.request.id, min(self.set.max_retry_after, wait)))
         else:
             self.out.append(api.Fail(held.request.id))
 
