--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -107,8 +107,7 @@
         first, self.now, self.out = self.now is None, now, []
         if first:
             self.out.append(api.SetTimer(self.sweep_every, "sweep"))
-        if first and self.set.subscribe:
-            self.out.append(api.Subscribe())
+            self.out += [api.Subscribe()] * self.set.subscribe
         HANDLERS[type(event)](self, event)
         return self.out
 
@@ -116,8 +115,8 @@
         """Take the list as far as it goes: it is late, and knows of health only whether a process runs."""
         if event.kind == "failed":
             return self.out.append(api.Subscribe())
-        named = {member.server for member in event.members}
-        for server in [s for s in self.servers.values() if event.kind != "delta" and s.id not in named]:
+        named = {member.server for member in event.members} if event.kind != "delta" else set(self.servers)
+        for server in [s for s in self.servers.values() if s.id not in named]:
             self.drop(server)
         for member in event.members:
             server = self.servers.get(member.server)
@@ -177,8 +176,7 @@
         weight = 0.1 + 0.4 * (1 - exp((server.strained_at - self.now) / (2 * SECOND)))
         server.strain += weight * (min(event.latency / kind.aim, 4.0) - server.strain)
         server.strained_at = self.now
-        if event.status == "ok":
-            self.usual[kind.name] += 0.02 * (event.latency - self.usual[kind.name])
+        self.usual[kind.name] += 0.02 * (event.latency - self.usual[kind.name])
         if server.strain > FULL_STRAIN:
             server.limit = max(1.0, 0.95 * server.limit)
         elif 2 * len(server.waiting) >= server.limit:
@@ -365,9 +363,11 @@
         elif event.status in ("ok", "miss", "error", "full"):
             server.trust()
             server.answered_at = self.now
-        if event.status == "full":  # refused work costs it too: let it rest for about one answer
+        if event.status in ("full", "timeout", "cancelled"):  # it still has work that is not seen from here
+            rest = self.strain_of(server) * kind.aim / server.limit
+            server.rest_until = max(server.rest_until, self.now) + int(rest)
+        if event.status == "full":
             server.limit = max(1.0, 0.9 * min(server.limit, len(server.waiting) + 1))
-            server.rest_until = self.now + int(self.strain_of(server) * kind.aim)
         elif event.status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
             self.answered(server, kind, event)
         self.settle(event, attempt)
@@ -379,7 +379,7 @@
         session = held.request.session if held.kind.read == "write" else None
         if session and event.status == "ok":
             token = max(event.position or self.now, self.tokens.pop(session, (0, 0))[0])
-            self.tokens[session] = (token, held.request.group)
+            self.tokens[session] = token, held.request.group
         held.out -= 1
         if event.status not in NEVER_RAN and held.ran_at is None:
             held.ran_at = attempt.sent_at
