--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -288,3 +288,45 @@
 def test_class_is_checked_by_name():
     with pytest.raises(ValueError, match="effect"):
         RequestClass("x", 1, 1, 1, 0, "perhaps")
+
+
+def test_timed_out_attempt_keeps_its_share_of_the_server():
+    world = World(group(0))
+    world.known(1, primary=True)
+    world.ask("w", "commit", left=500 * MS)
+    world.end("w", 1, "timeout", after=500 * MS)
+    world.ask("next", "commit")
+    assert sent(world) == []  # the work of the first goes on there
+    for _ in range(10):
+        world.known(1, primary=True)
+        world.tick(50 * MS)
+        if sent(world):
+            break
+    assert sent(world) == [1]
+
+
+def test_trial_of_a_silent_server_is_kept_short():
+    world = World(group(2))
+    for server in (2, 3):
+        world.known(server)
+    world.router.servers[2].silent, world.router.servers[2].retry_at = True, world.now
+    world.router.servers[2].strain = 4.0
+    world.ask("r", "any", left=5 * SECOND)
+    assert sent(world) == [2]
+    asked = world.now
+    while not world.of(Cancel):
+        world.tick()
+        assert world.now - asked < 400 * MS
+    world.end("r", 2, "cancelled", after=MS)
+    assert sent(world) == [3]
+
+
+def test_write_that_is_answered_after_its_client_left_still_sets_the_token():
+    world = World()
+    for server in (2, 3):
+        world.known(server)
+    world.ask("w", "commit", session="s")
+    world.feed(Gone("w"))
+    world.end("w", 1, role=Role.PRIMARY, position=world.now + 20 * MS)
+    world.ask("r", "status", session="s")
+    assert sent(world) == [1]
