--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -24,7 +24,8 @@
 FULL_STRAIN = 0.4  # the mean share of the aim at which a server is full: the tail still makes its aim
 SILENT_WORK, SILENT_TIME = 8.0, 2.5  # silent: outstanding requests waited so many usual times together; each
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
-SEEK_EVERY = 100 * MS  # pace of the probes that look for a new primary
+ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
+LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
 
 
 class Server:
@@ -97,33 +98,31 @@
         self.waiting: dict[int, dict[tuple[str, bool], dict[str, Held]]] = {}  # by group; class, late
         self.tokens: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
-        self.sweep_every = max(4 * settings.period, 10 * MS)
-        bounds = [kind.staleness_bound for kind in settings.classes if kind.read == "bounded"]
-        self.stale_after = min(bounds, default=SECOND)
-        self.now, self.out = None, []
+        self.sweep_every = max(2 * settings.period, min(kind.aim for kind in settings.classes) // 10)
+        self.ask_every = max(ASK_EVERY, settings.gateways * ASK_TOGETHER)
+        self.now, self.out, self.armed = None, [], False
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event; return the actions in order."""
         first, self.now, self.out = self.now is None, now, []
-        if first:
-            self.out.append(api.SetTimer(self.sweep_every, "sweep"))
-            self.out += [api.Subscribe()] * self.set.subscribe
+        self.out += [api.Subscribe()] * (first and self.set.subscribe)
         HANDLERS[type(event)](self, event)
+        if not self.armed and (self.requests or self.attempts):  # an idle gateway of hundreds costs nothing
+            self.armed = True
+            self.out.append(api.SetTimer(self.sweep_every, "sweep"))
         return self.out
 
     def on_list(self, event: api.ServerList) -> None:
         """Take the list as far as it goes: it is late, and knows of health only whether a process runs."""
         if event.kind == "failed":
             return self.out.append(api.Subscribe())
-        named = {member.server for member in event.members} if event.kind != "delta" else set(self.servers)
-        for server in [s for s in self.servers.values() if s.id not in named]:
-            self.drop(server)
-        for member in event.members:
+        members = [member for member in event.members if member.state != "gone"]
+        here, named = {m.server for m in members}, {m.server for m in event.members}
+        for server in list(self.servers.values()):
+            if server.id not in here and (event.kind != "delta" or server.id in named):
+                self.drop(server)
+        for member in members:
             server = self.servers.get(member.server)
-            if member.state == "gone":
-                if server:
-                    self.drop(server)
-                continue
             if server is None:
                 server = self.servers[member.server] = Server(member, self.now)
                 self.groups.setdefault(member.group, []).append(server)
@@ -167,9 +166,9 @@
         need = self.needed(attempt.held, attempt.sent_at)
         if need and event.role == api.Role.REPLICA and self.set.checks != "none":
             if event.status == "ok":  # it checked: it has what was asked for
-                self.learn_position(server, need)
+                server.position, server.lag = max(server.position, need), min(server.lag, self.now - need)
             elif event.status == "miss":
-                server.lag = max(server.lag, self.now - need + MS)
+                server.lag, server.heard = max(server.lag, self.now - need + MS), self.now
 
     def answered(self, server: Server, kind: api.RequestClass, event: api.Outcome) -> None:
         """An answer sets the server's strain, and by it how much may be outstanding there."""
@@ -193,7 +192,6 @@
         server.retry_at = self.now + BACKOFF * (1 << min(server.failures, 3))
         server.failures += 1
         server.silent = server.silent or silent
-        server.probe_at = min(server.probe_at, server.retry_at)
 
     def check_silence(self, server: Server) -> None:
         """A hung server takes work and answers nothing; only one's own requests out there can tell."""
@@ -225,9 +223,13 @@
 
     def recent_enough(self, server: Server, need: int) -> bool:
         """A proven position holds for good; where servers check for themselves a likely one will do."""
-        likely = self.now - server.lag + self.set.patience if self.set.checks != "none" else 0
+        likely = self.likely(server) + self.set.patience if self.set.checks != "none" else 0
         return not need or max(server.position, likely) >= need
 
+    def likely(self, server: Server) -> int:
+        """The position that a replica has by guess: how far it was behind is forgotten as it catches up."""
+        return self.now - int(server.lag * exp((server.heard - self.now) / LAG_LIFE))
+
     def warmth(self, server: Server) -> float:
         """The share of its capacity that a server started lately has for certain."""
         age = (self.now - server.started) / max(self.set.cold, 1) if server.started else 1.0
@@ -265,11 +267,17 @@
             return primary if fit else None
         need = self.needed(held, self.now)
         members = self.groups.get(held.request.group, ())
-        able = [s for s in members if not s.drained and s.id not in held.tried]
-        able = [s for s in able if s is primary or self.recent_enough(s, need)]
+        free = [s for s in members if not s.drained and s.id not in held.tried]
+        able = [s for s in free if s is primary or self.recent_enough(s, need)]
         well = [s for s in able if s.retry_at == 0]
+        if all(s is primary for s in well) and self.now - held.arrived < held.kind.aim / 8:
+            stale = [s for s in free if s not in able and s.retry_at == 0 and s.heard < self.now - ASK_EVERY]
+            likely = [s for s in stale if self.likely(s) >= need]
+            best = min(likely, key=lambda s: self.cost(s, primary), default=None)
+            if best and self.probe(best):  # its position may be had for a probe's short wait
+                return None
         trial = [s for s in able if s.retry_at and self.now >= s.retry_at and not s.waiting]
-        if trial and well and held.attempts == 0:
+        if trial and well and held.attempts == 0 and (trial[0].silent or not self.probe(trial[0])):
             return trial[0]
         room = [s for s in well or trial or able if self.has_room(s, False)]
         return min(room, key=lambda s: self.cost(s, primary), default=None)
@@ -279,9 +287,7 @@
         if (kind := self.kinds.get(request.class_name)) is None:
             raise ValueError(f"class_name: {request.class_name!r} is not in the settings")
         held = self.requests[request.id] = Held(request, kind, self.now)
-        if kind.read == "fresh":
-            held.need = self.now
-        elif kind.read == "session" and self.set.tokens == "carried":
+        if kind.read == "session" and self.set.tokens == "carried":
             held.need = self.now - request.since_write if request.since_write else 0
         elif kind.read == "session":
             token, _ = self.tokens.get(request.session, (0, 0))
@@ -326,6 +332,9 @@
         held.late = self.now + self.usual[held.kind.name] > held.arrived + held.kind.aim
         bins = self.waiting.setdefault(held.request.group, {key: {} for key in self.order()})
         bins[held.kind.name, held.late][held.request.id] = held
+        seeking = self.primary(held.request.group) is None
+        for server in self.groups.get(held.request.group, ()) if seeking else ():
+            self.probe(server)
 
     def unhold(self, held: Held) -> None:
         """It waits no longer."""
@@ -408,14 +417,12 @@
             server.trust()
         self.route_waiting(server.group)
 
-    def probe(self, server: Server, seeking: bool) -> None:
-        """Probe the unheard, the doubted and positions aged past the bound; faster to find a primary."""
-        if server.probing or self.now < server.probe_at or self.set.reports == "none":
-            return
-        if seeking or (server.retry_at and not server.silent) or self.now - server.heard > self.stale_after:
-            server.probing = True
-            server.probe_at = self.now + (SEEK_EVERY if seeking else self.stale_after)
+    def probe(self, server: Server) -> bool:
+        """Probe only for what the next decision needs: hundreds of gateways ask the same servers."""
+        if self.now >= server.probe_at and self.set.may_probe and self.set.reports != "none":
+            server.probing, server.probe_at = True, self.now + self.ask_every
             self.out.append(api.Probe(server.id))
+        return server.probing
 
     def route_waiting(self, group: int) -> None:
         """Try again what is held, the most worth first; a few of each class, as about one place came free."""
@@ -425,16 +432,12 @@
                 self.route(held)
 
     def on_timer(self, event: api.Timer) -> None:
-        """Sweep: silence, probes, held requests, old tokens."""
-        self.out.append(api.SetTimer(self.sweep_every, "sweep"))
-        for group, servers in self.groups.items():
-            seeking = self.primary(group) is None
-            for server in servers:
-                if server.waiting:
-                    self.check_silence(server)
-                if self.set.may_probe:
-                    self.probe(server, seeking)
-            for held in [h for kind in self.waiting.get(group, {}).values() for h in kind.values()]:
+        """Sweep, while anything is owed: silence, held requests, old tokens."""
+        self.armed = False
+        for server in {attempt.server.id: attempt.server for attempt in self.attempts.values()}.values():
+            self.check_silence(server)
+        for group, bins in self.waiting.items():
+            for held in [held for kind in bins.values() for held in kind.values()]:
                 (self.give_up if self.hopeless(held) else self.hold)(held)
             self.route_waiting(group)
         while self.tokens:
@@ -447,6 +450,6 @@
 
 HANDLERS = {
     api.ServerList: Router.on_list, api.Request: Router.on_request, api.Outcome: Router.on_outcome,
-    api.Probed: Router.on_probed, api.Started: Router.on_gone, api.Gone: Router.on_gone,
-    api.Timer: Router.on_timer,
+    api.Probed: Router.on_probed, api.Timer: Router.on_timer,
+    api.Started: Router.on_gone, api.Gone: Router.on_gone,
 }  # fmt: skip
