A cold server is sent to by each request's lot: its warmth's part of what a member gets when all are well

Cause: the cold budget's least send of one, from each of hundreds of gateways; and a whole group come back cold had one at a time from each. Now a lot drawn for each request decides, so nothing of other gateways' sends is needed; counts of sends a server, and the division of the cost by warmth (which kept small gateways away until warm), went.

--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -41,8 +41,7 @@
         self.waiting: dict[tuple[str, int], Attempt] = {}  # what is outstanding, oldest first
         self.failures = self.retry_at = self.rest_until = self.probe_at = self.started = 0
         self.silent = self.probing = False
-        self.answered_at = self.sent_at = now
-        self.sent = 0.0  # sends of the last `fall`, decaying
+        self.answered_at = now
 
     def is_primary(self) -> bool:
         """Freshest evidence wins; a role heard true counts from when it was true."""
@@ -52,10 +51,6 @@
         """End every doubt."""
         self.failures, self.retry_at, self.silent = 0, 0, False
 
-    def sends(self, now: int, span: int) -> float:
-        """How much this gateway sent it lately."""
-        return self.sent * exp((self.sent_at - now) / span)
-
 
 @dataclass(slots=True)
 class Attempt:
@@ -74,6 +69,7 @@
     request: api.Request
     kind: api.RequestClass
     arrived: int
+    lot: float  # drawn once, between 0 and 1: who may go where not all may
     need: int = 0  # the log position that a read must see; one with a staleness bound reckons it when sent
     attempts: int = 0
     out: int = 0
@@ -93,6 +89,7 @@
         self.random = random.Random(settings.seed)
         self.servers: dict[int, Server] = {}
         self.groups: dict[int, list[Server]] = {}
+        self.sizes: dict[int, int] = {}  # the most members that each group has had
         self.requests: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also of requests answered meanwhile
         self.waiting: dict[int, dict[tuple[str, bool], dict[str, Held]]] = {}  # by group; class, late
@@ -100,7 +97,7 @@
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
         self.sweep_every = max(2 * settings.period, min(kind.aim for kind in settings.classes) // 10)
         self.ask_every = max(ASK_EVERY, settings.gateways * ASK_TOGETHER)
-        self.now, self.out, self.armed = None, [], False
+        self.now, self.out, self.armed, self.ranking = None, [], False, self.order()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event; return the actions in order."""
@@ -134,6 +131,8 @@
                 told = self.now - LIST_LAG if event.kind == "delta" else 0
                 server.role_at[True] = max(server.role_at[True], told)
             server.listed_primary, server.drained = member.primary, member.state == "draining"
+        for group, servers in self.groups.items():
+            self.sizes[group] = max(len(servers), self.sizes.get(group, 0))
 
     def drop(self, server: Server) -> None:
         """Let go of a server that has left the list, unless only draining binds."""
@@ -235,38 +234,37 @@
         age = (self.now - server.started) / max(self.set.cold, 1) if server.started else 1.0
         return min(1.0, self.set.cold_share + (1 - self.set.cold_share) * age)
 
-    def cold_allows(self, server: Server) -> bool:
-        """A cold server gets its share of what warm members get; other gateways are taken to do the same."""
-        warmth = self.warmth(server)
-        warm = [s for s in self.groups[server.group] if self.warmth(s) >= 1.0]
-        if warmth >= 1.0 or not warm:
-            return warmth >= 1.0 or not server.waiting
-        share, now, span = warmth / len(warm), self.now, self.set.fall
-        if len(server.waiting) >= max(1, share * sum(len(s.waiting) for s in warm)):
-            return False
-        return server.sends(now, span) < max(1.0, share * sum(s.sends(now, span) for s in warm))
+    def cold_allows(self, server: Server, held: Held, choices: int) -> bool:
+        """A cold server takes its warmth's part of what a member got when all were well, by each one's lot.
+
+        This needs no count of others' sends, so it holds for one gateway and for hundreds, where one each is
+        too many, and for a whole group come back cold: those without the luck wait for warmth or are refused.
+        """
+        usual = min(1.0, choices / self.sizes[server.group])
+        return (warmth := self.warmth(server)) >= 1.0 or held.lot < warmth * usual
 
     def cost(self, server: Server, primary: Server | None) -> float:
         """What a further request may expect to wait there, in usual latencies; chance turns over equals."""
-        cost = (len(server.waiting) + 1) * self.strain_of(server) / self.warmth(server)
+        cost = (len(server.waiting) + 1) * self.strain_of(server)
         cost *= 1 + 0.2 * self.random.random()
         cost *= FAR_PENALTY if server.zone != self.set.zone else 1.0
         return cost * PRIMARY_PENALTY if server is primary else cost
 
-    def has_room(self, server: Server, only_here: bool) -> bool:
+    def has_room(self, server: Server, held: Held, choices: int) -> bool:
         """Outstanding stays under the limit; reads that others can serve leave writes half of a primary."""
-        limit = server.limit if only_here or not server.is_primary() else server.limit / 2
+        owed = held.kind.read in ("write", "fresh") or not server.is_primary()
+        limit = server.limit if owed else server.limit / 2
         room = self.now >= server.rest_until and len(server.waiting) < max(1.0, limit)
-        return room and self.cold_allows(server)
+        return room and self.cold_allows(server, held, choices)
 
     def pick(self, held: Held) -> Server | None:
         """The server for the next attempt, or none for now."""
         primary = self.primary(held.request.group)
+        members = self.groups.get(held.request.group, ())
         if held.kind.read == "write" or held.kind.read == "fresh":
-            fit = primary and primary.id not in held.tried and self.has_room(primary, True)
+            fit = primary and primary.id not in held.tried and self.has_room(primary, held, len(members))
             return primary if fit else None
         need = self.needed(held, self.now)
-        members = self.groups.get(held.request.group, ())
         free = [s for s in members if not s.drained and s.id not in held.tried]
         able = [s for s in free if s is primary or self.recent_enough(s, need)]
         well = [s for s in able if s.retry_at == 0]
@@ -279,14 +277,15 @@
         trial = [s for s in able if s.retry_at and self.now >= s.retry_at and not s.waiting]
         if trial and well and held.attempts == 0 and (trial[0].silent or not self.probe(trial[0])):
             return trial[0]
-        room = [s for s in well or trial or able if self.has_room(s, False)]
+        choices = well or trial or able
+        room = [s for s in choices if self.has_room(s, held, len(choices))]
         return min(room, key=lambda s: self.cost(s, primary), default=None)
 
     def on_request(self, request: api.Request) -> None:
         """Route a new request by its token."""
         if (kind := self.kinds.get(request.class_name)) is None:
             raise ValueError(f"class_name: {request.class_name!r} is not in the settings")
-        held = self.requests[request.id] = Held(request, kind, self.now)
+        held = self.requests[request.id] = Held(request, kind, self.now, self.random.random())
         if kind.read == "session" and self.set.tokens == "carried":
             held.need = self.now - request.since_write if request.since_write else 0
         elif kind.read == "session":
@@ -312,7 +311,6 @@
         self.unhold(held)
         key = held.request.id, held.attempts
         server.waiting[key] = self.attempts[key] = Attempt(held, server, self.now)
-        server.sent, server.sent_at = server.sends(self.now, self.set.fall) + 1, self.now
         if server.retry_at:  # one trial at a time
             server.retry_at = self.now + BACKOFF * (1 << min(server.failures, 3))
         held.attempts, held.out = held.attempts + 1, held.out + 1
@@ -330,7 +328,9 @@
         self.unhold(held)
         held.tried.clear()
         held.late = self.now + self.usual[held.kind.name] > held.arrived + held.kind.aim
-        bins = self.waiting.setdefault(held.request.group, {key: {} for key in self.order()})
+        bins = self.waiting.get(held.request.group)
+        if bins is None:
+            bins = self.waiting[held.request.group] = {key: {} for key in self.ranking}
         bins[held.kind.name, held.late][held.request.id] = held
         seeking = self.primary(held.request.group) is None
         for server in self.groups.get(held.request.group, ()) if seeking else ():
@@ -427,13 +427,13 @@
     def route_waiting(self, group: int) -> None:
         """Try again what is held, the most worth first; a few of each class, as about one place came free."""
         bins = self.waiting.get(group)
-        for key in self.order() if bins else ():
+        for key in self.ranking if bins else ():
             for held in list(bins[key].values())[:8]:  # an unreached token must not block the rest
                 self.route(held)
 
     def on_timer(self, event: api.Timer) -> None:
         """Sweep, while anything is owed: silence, held requests, old tokens."""
-        self.armed = False
+        self.armed, self.ranking = False, self.order()
         for server in {attempt.server.id: attempt.server for attempt in self.attempts.values()}.values():
             self.check_silence(server)
         for group, bins in self.waiting.items():
