--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -16,12 +16,13 @@
 
 MS, SECOND = 1_000_000, 1_000_000_000
 NEVER_RAN = ("full", "connect_failed", "moot", "miss")
-TOKEN_LIFE = 60 * SECOND  # older tokens fold into their group's floor, so that memory stays bounded
+TOKENS = 5000  # remembered; the oldest fold into their group's floor, so that memory stays bounded
 LIST_LAG = SECOND  # a changed list speaks of at least this long ago: hand-overs are told late
 PRIMARY_PENALTY = 3.0  # a primary takes reads when replicas look this much dearer: writes have no other home
 FAR_PENALTY = 1.5  # another zone is chosen when the own zone looks this much dearer
 CALM = 0.25  # latency as a share of the aim, where nothing is known yet
 FULL_STRAIN = 0.4  # the mean share of the aim at which a server is full: the tail still makes its aim
+MEMORY, YIELD = 5 * SECOND, 1.5  # at most 1.5 times what came back in time lately is sent: room to grow again
 SILENT_WORK, SILENT_TIME = 8.0, 2.5  # silent: outstanding requests waited so many usual times together; each
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
 ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
@@ -39,7 +40,7 @@
         self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
         self.limit = 4.0  # how much may be outstanding there; more waits here, where it is ordered
         self.waiting: dict[tuple[str, int], Attempt] = {}  # what is outstanding, oldest first
-        self.failures = self.retry_at = self.rest_until = self.probe_at = self.started = 0
+        self.failures = self.retry_at = self.probe_at = self.started = 0
         self.silent = self.probing = False
         self.answered_at = now
 
@@ -72,10 +73,8 @@
     lot: float  # drawn once, between 0 and 1: who may go where not all may
     need: int = 0  # the log position that a read must see; one with a staleness bound reckons it when sent
     attempts: int = 0
-    out: int = 0
     late: bool = False
     ran_at: int | None = None  # when the first attempt that may have run was sent
-    ran_zone: str = ""
     tried: set[int] = field(default_factory=set)
 
 
@@ -85,14 +84,16 @@
     def __init__(self, settings: api.Settings) -> None:
         self.set = settings
         self.kinds = {kind.name: kind for kind in settings.classes}
-        self.usual = {kind.name: kind.aim * CALM for kind in settings.classes}  # latency, till answers come
+        self.usual = {kind.name: kind.aim * CALM for kind in settings.classes}  # latency of an answer
         self.random = random.Random(settings.seed)
         self.servers: dict[int, Server] = {}
         self.groups: dict[int, list[Server]] = {}
+        self.tally, self.tallied_at = [0.0, 0.0], 0  # wanted of any server lately; answered in time
+        self.asked = dict.fromkeys(self.kinds, 1e-9)  # each class's part of the requests
         self.sizes: dict[int, int] = {}  # the most members that each group has had
         self.requests: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also of requests answered meanwhile
-        self.waiting: dict[int, dict[tuple[str, bool], dict[str, Held]]] = {}  # by group; class, late
+        self.waiting: dict[tuple[int, str, bool], dict[str, Held]] = {}  # by group, class, late
         self.tokens: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
         self.sweep_every = max(2 * settings.period, min(kind.aim for kind in settings.classes) // 10)
@@ -101,8 +102,7 @@
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event; return the actions in order."""
-        first, self.now, self.out = self.now is None, now, []
-        self.out += [api.Subscribe()] * (first and self.set.subscribe)
+        self.now, self.out = now, []
         HANDLERS[type(event)](self, event)
         if not self.armed and (self.requests or self.attempts):  # an idle gateway of hundreds costs nothing
             self.armed = True
@@ -111,19 +111,20 @@
 
     def on_list(self, event: api.ServerList) -> None:
         """Take the list as far as it goes: it is late, and knows of health only whether a process runs."""
-        if event.kind == "failed":
-            return self.out.append(api.Subscribe())
+        if self.set.subscribe and event.kind in ("saved", "failed"):
+            self.out.append(api.Subscribe())
         members = [member for member in event.members if member.state != "gone"]
         here, named = {m.server for m in members}, {m.server for m in event.members}
         for server in list(self.servers.values()):
-            if server.id not in here and (event.kind != "delta" or server.id in named):
+            if server.id not in here and (event.kind in ("full", "saved") or server.id in named):
                 self.drop(server)
         for member in members:
             server = self.servers.get(member.server)
             if server is None:
                 server = self.servers[member.server] = Server(member, self.now)
                 self.groups.setdefault(member.group, []).append(server)
-                server.started = member.started
+                server.started, size = member.started, len(self.groups[member.group])
+                self.sizes[member.group] = max(size, self.sizes.get(member.group, 0))
             elif member.started > server.started:  # restarted: what was learnt of its health is void
                 server.trust()
                 server.lag, server.started, server.role_at[True] = self.set.cold, member.started, -1
@@ -131,8 +132,6 @@
                 told = self.now - LIST_LAG if event.kind == "delta" else 0
                 server.role_at[True] = max(server.role_at[True], told)
             server.listed_primary, server.drained = member.primary, member.state == "draining"
-        for group, servers in self.groups.items():
-            self.sizes[group] = max(len(servers), self.sizes.get(group, 0))
 
     def drop(self, server: Server) -> None:
         """Let go of a server that has left the list, unless only draining binds."""
@@ -148,11 +147,10 @@
 
     def learn_report(self, server: Server, report: api.Report | None) -> None:
         """A report is exact but old: the role in it was true at its position."""
-        if report is None or report.position is None or report.position > self.now:
-            return
-        if report.primary is not None and report.position >= server.position:
-            server.role_at[report.primary] = max(server.role_at[report.primary], report.position)
-        self.learn_position(server, report.position)
+        if report and report.position is not None and report.position <= self.now:
+            if report.primary is not None and report.position >= server.position:
+                server.role_at[report.primary] = max(server.role_at[report.primary], report.position)
+            self.learn_position(server, report.position)
 
     def learn_answer(self, server: Server, event: api.Outcome, attempt: Attempt) -> None:
         """What an answer proves: a role now, a position, and that the server is there."""
@@ -171,7 +169,7 @@
 
     def answered(self, server: Server, kind: api.RequestClass, event: api.Outcome) -> None:
         """An answer sets the server's strain, and by it how much may be outstanding there."""
-        weight = 0.1 + 0.4 * (1 - exp((server.strained_at - self.now) / (2 * SECOND)))
+        weight = 0.5 - 0.4 * exp((server.strained_at - self.now) / (2 * SECOND))
         server.strain += weight * (min(event.latency / kind.aim, 4.0) - server.strain)
         server.strained_at = self.now
         self.usual[kind.name] += 0.02 * (event.latency - self.usual[kind.name])
@@ -198,17 +196,16 @@
         since = max(server.answered_at, oldest.sent_at)
         strain = CALM if server.silent else min(1.0, max(CALM, self.strain_of(server)))  # trials are short
         usual = oldest.held.kind.aim * strain
-        if self.now - since < SILENT_TIME * usual:
-            return
         waited = sum(self.now - max(since, attempt.sent_at) for attempt in server.waiting.values())
-        if waited < SILENT_WORK * usual and not server.silent:
+        enough = server.silent or waited >= SILENT_WORK * usual
+        if not enough or self.now - since < SILENT_TIME * usual:
             return
         self.doubt(server, silent=True)
-        for (_, number), attempt in server.waiting.items():  # reads go elsewhere; writes may yet be answered
-            held = attempt.held
-            if held.kind.effect == "safe" and not attempt.cancelled and self.may_resend(held):
+        for key, attempt in server.waiting.items():  # reads go elsewhere; writes may yet be answered
+            safe = attempt.held.kind.effect == "safe" and not attempt.cancelled
+            if safe and self.may_resend(attempt.held):
                 attempt.cancelled = True
-                self.out.append(api.Cancel(held.request.id, number))
+                self.out.append(api.Cancel(*key))
 
     def primary(self, group: int) -> Server | None:
         """The server last known to be primary, unless it drains or is doubted."""
@@ -237,8 +234,8 @@
     def cold_allows(self, server: Server, held: Held, choices: int) -> bool:
         """A cold server takes its warmth's part of what a member got when all were well, by each one's lot.
 
-        This needs no count of others' sends, so it holds for one gateway and for hundreds, where one each is
-        too many, and for a whole group come back cold: those without the luck wait for warmth or are refused.
+        No count of others' sends: it holds for one gateway and for hundreds, where one each is too many, and
+        for a whole group come back cold: those without the luck wait for warmth or are refused.
         """
         usual = min(1.0, choices / self.sizes[server.group])
         return (warmth := self.warmth(server)) >= 1.0 or held.lot < warmth * usual
@@ -254,7 +251,7 @@
         """Outstanding stays under the limit; reads that others can serve leave writes half of a primary."""
         owed = held.kind.read in ("write", "fresh") or not server.is_primary()
         limit = server.limit if owed else server.limit / 2
-        room = self.now >= server.rest_until and len(server.waiting) < max(1.0, limit)
+        room = len(server.waiting) < max(1.0, limit)
         return room and self.cold_allows(server, held, choices)
 
     def pick(self, held: Held) -> Server | None:
@@ -285,6 +282,7 @@
         """Route a new request by its token."""
         if (kind := self.kinds.get(request.class_name)) is None:
             raise ValueError(f"class_name: {request.class_name!r} is not in the settings")
+        self.asked = {name: 0.98 * asked + (name == kind.name) for name, asked in self.asked.items()}
         held = self.requests[request.id] = Held(request, kind, self.now, self.random.random())
         if kind.read == "session" and self.set.tokens == "carried":
             held.need = self.now - request.since_write if request.since_write else 0
@@ -296,31 +294,49 @@
     def may_resend(self, held: Held) -> bool:
         """Whether a further attempt is allowed at all."""
         kind = held.kind
-        if held.attempts >= self.set.max_attempts or self.now >= held.request.expires:
-            return False
-        window = kind.window if kind.effect == "keyed" else 0
-        return held.ran_at is None or kind.effect == "safe" or self.now - held.ran_at < window
+        window = kind.window if kind.effect == "keyed" and kind.scope != "zone" else 0
+        again = held.ran_at is None or kind.effect == "safe" or self.now - held.ran_at < window
+        return again and held.attempts < self.set.max_attempts and self.now < held.request.expires
 
     def route(self, held: Held) -> None:
         """Send a request now, hold it, or give it up."""
-        if not self.may_resend(held) or self.hopeless(held):
+        if not self.may_resend(held) or self.hopeless(held) or not self.admits(held):
             return self.give_up(held)
         server = self.pick(held)
-        if server is None or held.ran_zone not in ("", server.zone):
+        if server is None:
             return self.hold(held)
         self.unhold(held)
         key = held.request.id, held.attempts
         server.waiting[key] = self.attempts[key] = Attempt(held, server, self.now)
         if server.retry_at:  # one trial at a time
             server.retry_at = self.now + BACKOFF * (1 << min(server.failures, 3))
-        held.attempts, held.out = held.attempts + 1, held.out + 1
+        held.attempts += 1
         self.out.append(api.Send(held.request.id, server.id, held.request.expires))
 
+    def count(self, good: bool) -> None:
+        """Remember for a while how many attempts were wanted and how many came to something in time."""
+        fade = exp((self.tallied_at - self.now) / MEMORY)
+        self.tally, self.tallied_at = [self.tally[0] * fade + 1, self.tally[1] * fade + good], self.now
+
+    def admits(self, held: Held) -> bool:
+        """Servers that answer late or "full" get less from each gateway by itself, the least worth first.
+
+        Against overload that retries feed, whatever began it: full queues would be kept full for good. One
+        gateway sees too little of one server to tell, so all its servers count together. It could hurt where
+        a third of all attempts fail for another reason; lost connections and misses do not count.
+        """
+        share = (YIELD * self.tally[1] + 1) / max(self.tally[0], 1.0)
+        ranked = [name for name, late in self.ranking if not late]
+        better = sum(self.asked[name] for name in ranked[: ranked.index(held.kind.name)])
+        first = better + held.lot * self.asked[held.kind.name] <= share * sum(self.asked.values())
+        if not (first or held.lot < share / 4):  # a little of each class, else none may be left to try
+            self.count(False)
+        return first or held.lot < share / 4
+
     def hopeless(self, held: Held) -> bool:
         """It can no longer be answered while that is worth something: its work would only delay others."""
-        useful = held.request.expires
-        if not held.kind.late_worth:
-            useful = min(useful, held.arrived + held.kind.aim)
+        aim = held.arrived + held.kind.aim
+        useful = held.request.expires if held.kind.late_worth else min(held.request.expires, aim)
         return self.now + max(self.usual[held.kind.name], 2 * self.sweep_every) > useful
 
     def hold(self, held: Held) -> None:
@@ -328,18 +344,14 @@
         self.unhold(held)
         held.tried.clear()
         held.late = self.now + self.usual[held.kind.name] > held.arrived + held.kind.aim
-        bins = self.waiting.get(held.request.group)
-        if bins is None:
-            bins = self.waiting[held.request.group] = {key: {} for key in self.ranking}
-        bins[held.kind.name, held.late][held.request.id] = held
-        seeking = self.primary(held.request.group) is None
-        for server in self.groups.get(held.request.group, ()) if seeking else ():
+        group = held.request.group
+        self.waiting.setdefault((group, held.kind.name, held.late), {})[held.request.id] = held
+        for server in self.groups.get(group, ()) if self.primary(group) is None else ():
             self.probe(server)
 
     def unhold(self, held: Held) -> None:
         """It waits no longer."""
-        if held.request.group in self.waiting:
-            self.waiting[held.request.group][held.kind.name, held.late].pop(held.request.id, None)
+        self.waiting.get((held.request.group, held.kind.name, held.late), {}).pop(held.request.id, None)
 
     def order(self) -> list[tuple[str, bool]]:
         """Classes, in time and late, by worth for their work: late work must not make more late."""
@@ -360,8 +372,7 @@
 
     def on_outcome(self, event: api.Outcome) -> None:
         """Learn from how an attempt ended; answer, resend or give up its request."""
-        attempt = self.attempts.pop((event.id, event.attempt), None)
-        if attempt is None:
+        if (attempt := self.attempts.pop((event.id, event.attempt), None)) is None:
             return
         server, kind = attempt.server, attempt.held.kind
         server.waiting.pop((event.id, event.attempt), None)
@@ -372,13 +383,13 @@
         elif event.status in ("ok", "miss", "error", "full"):
             server.trust()
             server.answered_at = self.now
-        if event.status in ("full", "timeout", "cancelled"):  # it still has work that is not seen from here
-            rest = self.strain_of(server) * kind.aim / server.limit
-            server.rest_until = max(server.rest_until, self.now) + int(rest)
         if event.status == "full":
             server.limit = max(1.0, 0.9 * min(server.limit, len(server.waiting) + 1))
         elif event.status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
             self.answered(server, kind, event)
+        overdue = event.status == "timeout" and event.latency > self.usual[kind.name]
+        if overdue or event.status in ("ok", "full"):
+            self.count(event.status == "ok" and event.latency <= kind.aim)
         self.settle(event, attempt)
         self.route_waiting(server.group)
 
@@ -389,14 +400,15 @@
         if session and event.status == "ok":
             token = max(event.position or self.now, self.tokens.pop(session, (0, 0))[0])
             self.tokens[session] = token, held.request.group
-        held.out -= 1
-        if event.status not in NEVER_RAN and held.ran_at is None:
-            held.ran_at = attempt.sent_at
-            held.ran_zone = server.zone if held.kind.effect == "keyed" and held.kind.scope == "zone" else ""
+            if len(self.tokens) > TOKENS:
+                _, (token, group) = self.tokens.popitem(last=False)
+                self.floors[group] = max(token, self.floors.get(group, 0))
+        if event.status not in NEVER_RAN:
+            held.ran_at = held.ran_at or attempt.sent_at
         held.tried.add(server.id)
         if event.closed:
             self.requests.pop(event.id, None)
-        elif event.id in self.requests and not held.out:
+        elif event.id in self.requests:
             self.route(held)
 
     def on_gone(self, event: api.Gone | api.Started) -> None:
@@ -406,8 +418,7 @@
 
     def on_probed(self, event: api.Probed) -> None:
         """A probe tells position and role; its answer shows that the process runs, not that it works."""
-        server = self.servers.get(event.server)
-        if server is None:
+        if (server := self.servers.get(event.server)) is None:
             return
         server.probing = False
         if event.status != "ok":
@@ -426,30 +437,23 @@
 
     def route_waiting(self, group: int) -> None:
         """Try again what is held, the most worth first; a few of each class, as about one place came free."""
-        bins = self.waiting.get(group)
-        for key in self.ranking if bins else ():
-            for held in list(bins[key].values())[:8]:  # an unreached token must not block the rest
+        for key in self.ranking:
+            for held in list(self.waiting.get((group, *key), {}).values())[:8]:  # one must not block the rest
                 self.route(held)
 
     def on_timer(self, event: api.Timer) -> None:
-        """Sweep, while anything is owed: silence, held requests, old tokens."""
+        """Sweep, while anything is owed: silence and held requests."""
         self.armed, self.ranking = False, self.order()
         for server in {attempt.server.id: attempt.server for attempt in self.attempts.values()}.values():
             self.check_silence(server)
-        for group, bins in self.waiting.items():
-            for held in [held for kind in bins.values() for held in kind.values()]:
-                (self.give_up if self.hopeless(held) else self.hold)(held)
+        for held in [held for waiting in list(self.waiting.values()) for held in waiting.values()]:
+            (self.give_up if self.hopeless(held) else self.hold)(held)
+        for group in {group: 0 for (group, _, _), waiting in self.waiting.items() if waiting}:
             self.route_waiting(group)
-        while self.tokens:
-            session, (position, group) = next(iter(self.tokens.items()))
-            if position > self.now - TOKEN_LIFE:
-                break
-            del self.tokens[session]
-            self.floors[group] = max(position, self.floors.get(group, 0))
 
 
 HANDLERS = {
     api.ServerList: Router.on_list, api.Request: Router.on_request, api.Outcome: Router.on_outcome,
-    api.Probed: Router.on_probed, api.Timer: Router.on_timer,
     api.Started: Router.on_gone, api.Gone: Router.on_gone,
+    api.Probed: Router.on_probed, api.Timer: Router.on_timer,
 }  # fmt: skip
