--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -23,7 +23,7 @@
 CALM = 0.25  # latency as a share of the aim, where nothing is known yet
 FULL_STRAIN = 0.4  # the mean share of the aim at which a server is full: the tail still makes its aim
 MEMORY, YIELD = 5 * SECOND, 1.5  # at most 1.5 times what came back in time lately is sent: room to grow again
-SILENT = 5.0  # silent: the oldest request out has waited so many usual times with nothing back
+SILENT_WORK, SILENT_TIME = 8.0, 2.5  # silent: outstanding requests waited so many usual times together; each
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
 ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
 LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
@@ -196,7 +196,9 @@
         since = max(server.answered_at, oldest.sent_at)
         strain = CALM if server.silent else min(1.0, max(CALM, self.strain_of(server)))  # trials are short
         usual = oldest.held.kind.aim * strain
-        if self.now - since < SILENT * usual:
+        waited = sum(self.now - max(since, attempt.sent_at) for attempt in server.waiting.values())
+        enough = server.silent or waited >= SILENT_WORK * usual
+        if not enough or self.now - since < SILENT_TIME * usual:
             return
         self.doubt(server, silent=True)
         for key, attempt in server.waiting.items():  # reads go elsewhere; writes may yet be answered
