--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -40,7 +40,7 @@
         self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
         self.limit = 4.0  # how much may be outstanding there; more waits here, where it is ordered
         self.waiting: dict[tuple[str, int], Attempt] = {}  # what is outstanding, oldest first
-        self.failures = self.retry_at = self.probe_at = self.started = 0
+        self.failures = self.retry_at = self.rest = self.rest_until = self.probe_at = self.started = 0
         self.silent = self.probing = False
         self.answered_at = now
 
@@ -251,7 +251,7 @@
         """Outstanding stays under the limit; reads that others can serve leave writes half of a primary."""
         owed = held.kind.read in ("write", "fresh") or not server.is_primary()
         limit = server.limit if owed else server.limit / 2
-        room = len(server.waiting) < max(1.0, limit)
+        room = len(server.waiting) < max(1.0, limit) and self.now >= server.rest_until
         return room and self.cold_allows(server, held, choices)
 
     def pick(self, held: Held) -> Server | None:
@@ -383,7 +383,10 @@
         elif event.status in ("ok", "miss", "error", "full"):
             server.trust()
             server.answered_at = self.now
-        if event.status == "full":
+        server.rest = server.rest if event.status in NEVER_RAN else 0
+        if event.status == "full":  # what it refuses presses it too: hundreds must not ask it again at once
+            server.rest = min(2 * server.rest or kind.aim // 4, SECOND)
+            server.rest_until = self.now + int(server.rest * (0.5 + self.random.random()))
             server.limit = max(1.0, 0.9 * min(server.limit, len(server.waiting) + 1))
         elif event.status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
             self.answered(server, kind, event)
