--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -429,4 +429,4 @@
         world.ask(f"r{index}", "any", after=50 * MS)
         for server in sent(world):
             world.end(f"r{index}", server, "connect_failed", after=MS)
-    assert world.router.tallies == {}
+    assert world.router.tally[0] == 0
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -88,7 +88,7 @@
         self.random = random.Random(settings.seed)
         self.servers: dict[int, Server] = {}
         self.groups: dict[int, list[Server]] = {}
-        self.tallies: dict[tuple[int, bool] | None, tuple[float, float, int]] = {}  # wanted, answered in time
+        self.tally, self.tallied_at = [0.0, 0.0], 0  # wanted of any server lately; answered in time
         self.asked = dict.fromkeys(self.kinds, 1e-9)  # each class's part of the requests
         self.sizes: dict[int, int] = {}  # the most members that each group has had
         self.requests: dict[str, Held] = {}
@@ -300,12 +300,11 @@
 
     def route(self, held: Held) -> None:
         """Send a request now, hold it, or give it up."""
-        if not self.may_resend(held) or self.hopeless(held):
+        if not self.may_resend(held) or self.hopeless(held) or not self.admits(held):
             return self.give_up(held)
-        if (server := self.pick(held)) is None:
+        server = self.pick(held)
+        if server is None:
             return self.hold(held)
-        if not self.admits(held, server):
-            return self.give_up(held)
         self.unhold(held)
         key = held.request.id, held.attempts
         server.waiting[key] = self.attempts[key] = Attempt(held, server, self.now)
@@ -314,30 +313,24 @@
         held.attempts += 1
         self.out.append(api.Send(held.request.id, server.id, held.request.expires))
 
-    def count(self, server: Server, good: bool) -> None:
+    def count(self, good: bool) -> None:
         """Remember for a while how many attempts were wanted and how many came to something in time."""
-        for key in ((server.group, server.is_primary()), None):
-            wanted, useful, at = self.tallies.get(key, (0.0, 0.0, 0))
-            fade = exp((at - self.now) / MEMORY)
-            self.tallies[key] = wanted * fade + 1, useful * fade + good, self.now
+        fade = exp((self.tallied_at - self.now) / MEMORY)
+        self.tally, self.tallied_at = [self.tally[0] * fade + 1, self.tally[1] * fade + good], self.now
 
-    def admits(self, held: Held, server: Server) -> bool:
+    def admits(self, held: Held) -> bool:
         """Servers that answer late or "full" get less from each gateway by itself, the least worth first.
 
         Against overload that retries feed, whatever began it: full queues would be kept full for good. One
-        gateway sees too little of one server, so a group's replicas count together and its primary alone, and
-        all it uses is the guess where that is little. It could hurt where a third of a group's attempts fail
-        for another reason; lost connections and misses do not count.
+        gateway sees too little of one server to tell, so all its servers count together. It could hurt where
+        a third of all attempts fail for another reason; lost connections and misses do not count.
         """
-        share = 1.0
-        for key in (None, (server.group, server.is_primary())):
-            wanted, useful, _ = self.tallies.get(key, (0.0, 0.0, 0))
-            share = min(1.0, (YIELD * useful + share) / max(wanted, 1.0))
+        share = (YIELD * self.tally[1] + 1) / max(self.tally[0], 1.0)
         ranked = [name for name, late in self.ranking if not late]
         better = sum(self.asked[name] for name in ranked[: ranked.index(held.kind.name)])
         first = better + held.lot * self.asked[held.kind.name] <= share * sum(self.asked.values())
         if not (first or held.lot < share / 4):  # a little of each class, else none may be left to try
-            self.count(server, False)
+            self.count(False)
         return first or held.lot < share / 4
 
     def hopeless(self, held: Held) -> bool:
@@ -399,7 +392,7 @@
             self.answered(server, kind, event)
         overdue = event.status == "timeout" and event.latency > self.usual[kind.name]
         if overdue or event.status in ("ok", "full"):
-            self.count(server, event.status == "ok" and event.latency <= kind.aim)
+            self.count(event.status == "ok" and event.latency <= kind.aim)
         self.settle(event, attempt)
         self.route_waiting(server.group)
 
