--- a/yardbank/adapter.py
+++ b/yardbank/adapter.py
@@ -104,6 +104,7 @@
         second_copies=field(limits, "second_copies", bool, False),
         may_cancel=field(limits, "cancel", bool, False),
         may_probe=field(limits, "probes", bool, False),
+        connect_timeout=field(limits, "connect_timeout", int, 250_000_000),
         max_retry_after=field(limits, "max_retry_after", int, 0) if limits.get("retry_after") else 0,
         subscribe=field(env, "registry_mode", str, "automatic") == "subscribe",
         drain_grace=field(rules, "drain_grace", int, 0),
@@ -259,6 +260,7 @@
         "trial": a.attempt,
     },
     api.Probe: lambda gateway, a: {"kind": "sound_out", "gateway": gateway, "server": a.server},
+    api.CloseIdle: lambda gateway, a: {"kind": "shut_idle", "gateway": gateway, "server": a.server},
     api.SetTimer: lambda gateway, a: {
         "kind": "schedule",
         "gateway": gateway,
--- a/yardbank/interface.py
+++ b/yardbank/interface.py
@@ -60,6 +60,7 @@
     second_copies: bool = False
     may_cancel: bool = False
     may_probe: bool = False
+    connect_timeout: int = 250_000_000  # a connection that is not up by then has failed
     max_retry_after: int = 0  # the longest retry-after a refusal may carry; 0: none
     subscribe: bool = False  # the list must be asked for
     drain_grace: int = 0
@@ -223,6 +224,13 @@
     server: int
 
 
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Close this gateway's idle connections to a server."""
+
+    server: int
+
+
 @dataclass(slots=True, frozen=True)
 class SetTimer:
     """Wake the router after a while."""
@@ -237,4 +245,4 @@
 
 
 Event = ServerList | Request | Outcome | Probed | Started | Gone | Timer
-Action = Send | Refuse | Fail | Cancel | Probe | SetTimer | Subscribe
+Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | SetTimer | Subscribe
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -26,6 +26,7 @@
 SILENT_WORK, SILENT_TIME = 8.0, 2.5  # silent: outstanding requests waited so many usual times together; each
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
 ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
+SCARCE = 5 * SECOND  # how long after a refused connection none is kept idle
 LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
 
 
@@ -98,6 +99,7 @@
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
         self.sweep_every = max(2 * settings.period, min(kind.aim for kind in settings.classes) // 10)
         self.ask_every = max(ASK_EVERY, settings.gateways * ASK_TOGETHER)
+        self.scarce_until = 0  # till then connections are closed after use
         self.now, self.out, self.armed, self.ranking = None, [], False, self.order()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -378,6 +380,10 @@
         server.waiting.pop((event.id, event.attempt), None)
         self.learn_answer(server, event, attempt)
         self.learn_report(server, event.report)
+        if event.status == "connect_failed" and event.latency < self.set.connect_timeout / 2:
+            self.scarce_until = self.now + SCARCE  # refused, not unheard: it may hold all that it takes
+        elif self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
+            self.out.append(api.CloseIdle(server.id))
         if event.status in ("connect_failed", "reset"):
             self.doubt(server, silent=False)
         elif event.status in ("ok", "miss", "error", "full"):
