--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -42,6 +42,7 @@
         self.limit = 4.0  # how much may be outstanding there; more waits here, where it is ordered
         self.waiting: dict[tuple[str, int], Attempt] = {}  # what is outstanding, oldest first
         self.failures = self.retry_at = self.rest = self.rest_until = self.probe_at = self.started = 0
+        self.refused_at = -BACKOFF
         self.silent = self.probing = False
         self.answered_at = now
 
@@ -381,7 +382,8 @@
         self.learn_answer(server, event, attempt)
         self.learn_report(server, event.report)
         if event.status == "connect_failed" and event.latency < self.set.connect_timeout / 2:
-            self.scarce_until = self.now + SCARCE  # refused, not unheard: it may hold all that it takes
+            server.refused_at = self.now  # a probe tells a dead process from one that takes no more
+            self.probe(server)
         elif self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
             self.out.append(api.CloseIdle(server.id))
         if event.status in ("connect_failed", "reset"):
@@ -433,6 +435,8 @@
         if event.status != "ok":
             return self.doubt(server, silent=False)
         self.learn_report(server, event.report)
+        if self.now - server.refused_at < BACKOFF:
+            self.scarce_until = self.now + SCARCE
         if not server.silent:
             server.trust()
         self.route_waiting(server.group)
