--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -381,20 +381,22 @@
         server.waiting.pop((event.id, event.attempt), None)
         self.learn_answer(server, event, attempt)
         self.learn_report(server, event.report)
-        if event.status == "connect_failed" and event.latency < self.set.connect_timeout / 2:
-            server.refused_at = self.now  # a probe tells a dead process from one that takes no more
+        refused = event.status == "connect_failed" and event.latency < self.set.connect_timeout / 2
+        if refused:  # a probe tells a dead process from one that takes no more connections
+            server.refused_at = self.now
             self.probe(server)
-        elif self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
-            self.out.append(api.CloseIdle(server.id))
-        if event.status in ("connect_failed", "reset"):
+        elif event.status in ("connect_failed", "reset"):
             self.doubt(server, silent=False)
         elif event.status in ("ok", "miss", "error", "full"):
             server.trust()
             server.answered_at = self.now
+        if self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
+            self.out.append(api.CloseIdle(server.id))
         server.rest = server.rest if event.status in NEVER_RAN else 0
-        if event.status == "full":  # what it refuses presses it too: hundreds must not ask it again at once
+        if event.status == "full" or refused:  # to be asked presses it too: hundreds must not do so at once
             server.rest = min(2 * server.rest or kind.aim // 4, SECOND)
             server.rest_until = self.now + int(server.rest * (0.5 + self.random.random()))
+        if event.status == "full":
             server.limit = max(1.0, 0.9 * min(server.limit, len(server.waiting) + 1))
         elif event.status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
             self.answered(server, kind, event)
