--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -72,9 +72,9 @@
     def tick(self, after=20 * MS):
         return self.feed(Timer("sweep"), after)
 
-    def known(self, server, lag=0, primary=False):
+    def known(self, server, lag=0, primary=False, after=0):
         """The server proves its position and role by a probe."""
-        return self.feed(Probed(server, "ok", MS, Report(self.now - lag, primary)))
+        return self.feed(Probed(server, "ok", MS, Report(self.now + after - lag, primary)), after)
 
 
 def group(replicas=2, **more):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -8,6 +8,7 @@
 from yardbank import policy
 from yardbank.interface import (
     Cancel,
+    CloseIdle,
     Fail,
     Gone,
     Outcome,
@@ -430,3 +431,42 @@
         for server in sent(world):
             world.end(f"r{index}", server, "connect_failed", after=MS)
     assert world.router.tally[0] == 0
+
+
+def test_a_refused_connection_of_a_living_process_closes_idle_ones_after_use():
+    world = World(group(1))
+    world.known(2, after=SECOND)
+    world.ask("r", "any")
+    world.end("r", 2, "connect_failed", after=MS)
+    assert [action.server for action in world.of(Probe)] == [2] and world.router.servers[2].retry_at == 0
+    world.known(2)
+    world.ask("s", "commit")
+    world.end("s", 1, role=Role.PRIMARY)
+    assert [action.server for action in world.of(CloseIdle)] == [1]
+    world.ask("t", "commit", after=20 * SECOND)
+    world.end("t", 1, role=Role.PRIMARY)
+    assert world.of(CloseIdle) == []
+
+
+def test_a_dead_process_is_doubted_and_closes_nothing():
+    world = World(group(1))
+    world.ask("r", "any")
+    server = sent(world)[0]
+    world.end("r", server, "connect_failed", after=MS)
+    world.feed(Probed(server, "connect_failed", MS), MS)
+    assert world.router.servers[server].retry_at > world.now and world.router.scarce_until == 0
+
+
+def test_a_full_server_is_left_alone_for_longer_each_time():
+    world = World(group(0))
+    world.router.set = replace(world.router.set, may_probe=False)
+    pauses = []
+    for index in range(3):
+        world.ask(f"w{index}", "commit", left=3 * SECOND)
+        began = world.now
+        while not world.of(Send):
+            world.tick(5 * MS)
+        pauses.append(world.now - began)
+        name = world.of(Send)[0].id
+        world.end(name, 1, "full", world.router.requests[name].attempts - 1, after=MS)
+    assert pauses[0] == 0 and pauses[1] < pauses[2]
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -106,21 +106,23 @@
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event; return the actions in order."""
         self.now, self.out = now, []
-        HANDLERS[type(event)](self, event)
+        getattr(self, f"on_{type(event).__name__.lower()}")(event)
         if not self.armed and (self.requests or self.attempts):  # an idle gateway of hundreds costs nothing
             self.armed = True
             self.out.append(api.SetTimer(self.sweep_every, "sweep"))
         return self.out
 
-    def on_list(self, event: api.ServerList) -> None:
+    def on_serverlist(self, event: api.ServerList) -> None:
         """Take the list as far as it goes: it is late, and knows of health only whether a process runs."""
         if self.set.subscribe and event.kind in ("saved", "failed"):
             self.out.append(api.Subscribe())
         members = [member for member in event.members if member.state != "gone"]
         here, named = {m.server for m in members}, {m.server for m in event.members}
         for server in list(self.servers.values()):
-            if server.id not in here and (event.kind in ("full", "saved") or server.id in named):
-                self.drop(server)
+            left = server.id not in here and (event.kind in ("full", "saved") or server.id in named)
+            if left and (server.drained or not self.set.only_draining_binds):  # else the list may err
+                del self.servers[server.id]
+                self.groups[server.group].remove(server)
         for member in members:
             server = self.servers.get(member.server)
             if server is None:
@@ -136,12 +138,6 @@
                 server.role_at[True] = max(server.role_at[True], told)
             server.listed_primary, server.drained = member.primary, member.state == "draining"
 
-    def drop(self, server: Server) -> None:
-        """Let go of a server that has left the list, unless only draining binds."""
-        if server.drained or not self.set.only_draining_binds:
-            del self.servers[server.id]
-            self.groups[server.group].remove(server)
-
     def learn_position(self, server: Server, position: int) -> None:
         """Positions only rise, and one beyond the clock proves nothing."""
         if position <= self.now:
@@ -229,19 +225,15 @@
         """The position that a replica has by guess: how far it was behind is forgotten as it catches up."""
         return self.now - int(server.lag * exp((server.heard - self.now) / LAG_LIFE))
 
-    def warmth(self, server: Server) -> float:
-        """The share of its capacity that a server started lately has for certain."""
-        age = (self.now - server.started) / max(self.set.cold, 1) if server.started else 1.0
-        return min(1.0, self.set.cold_share + (1 - self.set.cold_share) * age)
-
     def cold_allows(self, server: Server, held: Held, choices: int) -> bool:
-        """A cold server takes its warmth's part of what a member got when all were well, by each one's lot.
+        """A server started lately takes its certain part of what a member gets when all are well, by lot.
 
-        No count of others' sends: it holds for one gateway and for hundreds, where one each is too many, and
-        for a whole group come back cold: those without the luck wait for warmth or are refused.
+        No count of others' sends: it holds for hundreds of gateways, where one each is too many, and for a
+        whole group come back cold: those without the luck wait for warmth or are refused.
         """
-        usual = min(1.0, choices / self.sizes[server.group])
-        return (warmth := self.warmth(server)) >= 1.0 or held.lot < warmth * usual
+        age = (self.now - server.started) / max(self.set.cold, 1) if server.started else 1.0
+        warmth = self.set.cold_share + (1 - self.set.cold_share) * age
+        return age >= 1.0 or held.lot < warmth * min(1.0, choices / self.sizes[server.group])
 
     def cost(self, server: Server, primary: Server | None) -> float:
         """What a further request may expect to wait there, in usual latencies; chance turns over equals."""
@@ -277,8 +269,7 @@
         trial = [s for s in able if s.retry_at and self.now >= s.retry_at and not s.waiting]
         if trial and well and held.attempts == 0 and (trial[0].silent or not self.probe(trial[0])):
             return trial[0]
-        choices = well or trial or able
-        room = [s for s in choices if self.has_room(s, held, len(choices))]
+        room = [s for s in well or trial or able if self.has_room(s, held, len(well or trial or able))]
         return min(room, key=lambda s: self.cost(s, primary), default=None)
 
     def on_request(self, request: api.Request) -> None:
@@ -322,11 +313,10 @@
         self.tally, self.tallied_at = [self.tally[0] * fade + 1, self.tally[1] * fade + good], self.now
 
     def admits(self, held: Held) -> bool:
-        """Servers that answer late or "full" get less from each gateway by itself, the least worth first.
+        """Servers that answer late or "full" get less, the least worth first: retries would keep queues full.
 
-        Against overload that retries feed, whatever began it: full queues would be kept full for good. One
-        gateway sees too little of one server to tell, so all its servers count together. It could hurt where
-        a third of all attempts fail for another reason; lost connections and misses do not count.
+        One gateway sees too little of one server to tell, so all its servers count together. It could hurt
+        where a third of all attempts fail for another reason; lost connections and misses do not count.
         """
         share = (YIELD * self.tally[1] + 1) / max(self.tally[0], 1.0)
         ranked = [name for name, late in self.ranking if not late]
@@ -396,9 +386,7 @@
         if event.status == "full" or refused:  # to be asked presses it too: hundreds must not do so at once
             server.rest = min(2 * server.rest or kind.aim // 4, SECOND)
             server.rest_until = self.now + int(server.rest * (0.5 + self.random.random()))
-        if event.status == "full":
-            server.limit = max(1.0, 0.9 * min(server.limit, len(server.waiting) + 1))
-        elif event.status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
+        if event.status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
             self.answered(server, kind, event)
         overdue = event.status == "timeout" and event.latency > self.usual[kind.name]
         if overdue or event.status in ("ok", "full"):
@@ -409,8 +397,7 @@
     def settle(self, event: api.Outcome, attempt: Attempt) -> None:
         """What the end of an attempt means for its request; a write's answer sets its session's token."""
         held, server = attempt.held, attempt.server
-        session = held.request.session if held.kind.read == "write" else None
-        if session and event.status == "ok":
+        if held.kind.read == "write" and (session := held.request.session) and event.status == "ok":
             token = max(event.position or self.now, self.tokens.pop(session, (0, 0))[0])
             self.tokens[session] = token, held.request.group
             if len(self.tokens) > TOKENS:
@@ -429,6 +416,8 @@
         if held := self.requests.pop(event.id, None):
             self.unhold(held)
 
+    on_started = on_gone
+
     def on_probed(self, event: api.Probed) -> None:
         """A probe tells position and role; its answer shows that the process runs, not that it works."""
         if (server := self.servers.get(event.server)) is None:
@@ -465,10 +454,3 @@
             (self.give_up if self.hopeless(held) else self.hold)(held)
         for group in {group: 0 for (group, _, _), waiting in self.waiting.items() if waiting}:
             self.route_waiting(group)
-
-
-HANDLERS = {
-    api.ServerList: Router.on_list, api.Request: Router.on_request, api.Outcome: Router.on_outcome,
-    api.Started: Router.on_gone, api.Gone: Router.on_gone,
-    api.Probed: Router.on_probed, api.Timer: Router.on_timer,
-}  # fmt: skip
