A miss doubles how far a replica is taken to be behind; cold members have slices of the lots; a restart resets the limit

Seen by printing what it was sent: one held read sent to it every 5 to 15 ms, each a miss in 0 to 5 ms; a new entry had no lag, and what a miss told was forgotten faster than the read's need grew old. Change: a miss doubles the lag, so the next try waits longer each time; a server told to have started is taken to be `cold` behind; each cold member has its own slice of lots, for a calm look drew all lucky requests to one; the limit after a restart is that of a stranger, and less while cold.

--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -1,8 +1,7 @@
 """All decisions of one gateway. Its settings, events and actions are the types of yardbank/interface.py.
 
 The rule (WeScale's ReadAfterWrite): a session's token is the log position of its last write; its reads
-go to a replica known to have reached the token, else to the primary. Everything else here keeps that rule
-standing when servers hang, lag, die, start cold or lie.
+go to a replica known to have reached it, else to the primary. The rest keeps that standing in failures.
 """
 
 from __future__ import annotations
@@ -23,6 +22,7 @@
 CALM = 0.25  # latency as a share of the aim, where nothing is known yet
 FULL_STRAIN = 0.4  # the mean share of the aim at which a server is full: the tail still makes its aim
 MEMORY, YIELD = 5 * SECOND, 1.5  # at most 1.5 times what came back in time lately is sent: room to grow again
+LIMIT = 4.0  # may be outstanding at a server of which nothing is known
 SILENT_WORK, SILENT_TIME = 8.0, 2.5  # silent: outstanding requests waited so many usual times together; each
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
 ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
@@ -35,14 +35,13 @@
 
     def __init__(self, member: api.Member, now: int) -> None:
         self.id, self.zone, self.group = member.server, member.zone, member.group
-        self.position = self.heard = self.lag = 0  # proven; when; how far behind it seems
+        self.position = self.heard = self.lag = self.started = self.probe_at = 0
         self.role_at = {True: -1, False: -1}  # when it was last known to be primary, and not to be
         self.listed_primary = self.drained = False
         self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
-        self.limit = 4.0  # how much may be outstanding there; more waits here, where it is ordered
+        self.limit = LIMIT  # how much may be outstanding there; more waits here, where it is ordered
         self.waiting: dict[tuple[str, int], Attempt] = {}  # what is outstanding, oldest first
-        self.failures = self.retry_at = self.rest = self.rest_until = self.probe_at = self.started = 0
-        self.refused_at = -BACKOFF
+        self.failures = self.retry_at = self.rest = self.rest_until = self.refused_at = 0
         self.silent = self.probing = False
         self.answered_at = now
 
@@ -92,16 +91,14 @@
         self.groups: dict[int, list[Server]] = {}
         self.tally, self.tallied_at = [0.0, 0.0], 0  # wanted of any server lately; answered in time
         self.asked = dict.fromkeys(self.kinds, 1e-9)  # each class's part of the requests
-        self.sizes: dict[int, int] = {}  # the most members that each group has had
+        self.most: dict[int, int] = {}  # the most members that each group has had
         self.requests: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also of requests answered meanwhile
         self.waiting: dict[tuple[int, str, bool], dict[str, Held]] = {}  # by group, class, late
         self.tokens: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
         self.sweep_every = max(2 * settings.period, min(kind.aim for kind in settings.classes) // 10)
-        self.ask_every = max(ASK_EVERY, settings.gateways * ASK_TOGETHER)
-        self.scarce_until = 0  # till then connections are closed after use
-        self.now, self.out, self.armed, self.ranking = None, [], False, self.order()
+        self.scarce_until, self.armed, self.ranking = 0, False, self.order()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
         """Take one event; return the actions in order."""
@@ -128,11 +125,11 @@
             if server is None:
                 server = self.servers[member.server] = Server(member, self.now)
                 self.groups.setdefault(member.group, []).append(server)
-                server.started, size = member.started, len(self.groups[member.group])
-                self.sizes[member.group] = max(size, self.sizes.get(member.group, 0))
-            elif member.started > server.started:  # restarted: what was learnt of its health is void
+                self.most[member.group] = max(self.most.get(member.group, 0), len(self.groups[member.group]))
+            if member.started > server.started:  # what was learnt of its health is void; its copy is old
                 server.trust()
-                server.lag, server.started, server.role_at[True] = self.set.cold, member.started, -1
+                server.limit, server.started, server.role_at[True] = LIMIT, member.started, -1
+                server.lag, server.heard = self.set.cold, self.now
             if member.primary and not server.listed_primary:
                 told = self.now - LIST_LAG if event.kind == "delta" else 0
                 server.role_at[True] = max(server.role_at[True], told)
@@ -163,8 +160,8 @@
         if need and event.role == api.Role.REPLICA and self.set.checks != "none":
             if event.status == "ok":  # it checked: it has what was asked for
                 server.position, server.lag = max(server.position, need), min(server.lag, self.now - need)
-            elif event.status == "miss":
-                server.lag, server.heard = max(server.lag, self.now - need + MS), self.now
+            elif event.status == "miss":  # taken to be further behind each time: misses press it too
+                server.lag, server.heard = 2 * (self.now - min(self.likely(server), need)), self.now
 
     def answered(self, server: Server, kind: api.RequestClass, event: api.Outcome) -> None:
         """An answer sets the server's strain, and by it how much may be outstanding there."""
@@ -225,15 +222,10 @@
         """The position that a replica has by guess: how far it was behind is forgotten as it catches up."""
         return self.now - int(server.lag * exp((server.heard - self.now) / LAG_LIFE))
 
-    def cold_allows(self, server: Server, held: Held, choices: int) -> bool:
-        """A server started lately takes its certain part of what a member gets when all are well, by lot.
-
-        No count of others' sends: it holds for hundreds of gateways, where one each is too many, and for a
-        whole group come back cold: those without the luck wait for warmth or are refused.
-        """
+    def warmth(self, server: Server) -> float:
+        """The share of its capacity that a server started lately has for certain."""
         age = (self.now - server.started) / max(self.set.cold, 1) if server.started else 1.0
-        warmth = self.set.cold_share + (1 - self.set.cold_share) * age
-        return age >= 1.0 or held.lot < warmth * min(1.0, choices / self.sizes[server.group])
+        return min(1.0, self.set.cold_share + (1 - self.set.cold_share) * age)
 
     def cost(self, server: Server, primary: Server | None) -> float:
         """What a further request may expect to wait there, in usual latencies; chance turns over equals."""
@@ -242,19 +234,26 @@
         cost *= FAR_PENALTY if server.zone != self.set.zone else 1.0
         return cost * PRIMARY_PENALTY if server is primary else cost
 
-    def has_room(self, server: Server, held: Held, choices: int) -> bool:
-        """Outstanding stays under the limit; reads that others can serve leave writes half of a primary."""
-        owed = held.kind.read in ("write", "fresh") or not server.is_primary()
-        limit = server.limit if owed else server.limit / 2
-        room = len(server.waiting) < max(1.0, limit) and self.now >= server.rest_until
-        return room and self.cold_allows(server, held, choices)
+    def has_room(self, server: Server, held: Held) -> bool:
+        """Outstanding stays under the limit; reads that others can serve leave writes half of a primary.
+
+        A cold one takes its warmth's part of what a member gets when all are well, by its own slice of lots:
+        calm looks draw no more to it, and hundreds of gateways, or a group come back cold, count no others.
+        """
+        alone, warmth = held.kind.read in ("write", "fresh"), self.warmth(server)
+        limit = server.limit if alone or not server.is_primary() else server.limit / 2
+        if len(server.waiting) >= max(1.0, limit * warmth) or self.now < server.rest_until:
+            return False
+        size = 1 if alone else self.most[server.group]
+        place = held.lot + self.groups[server.group].index(server) / size
+        return warmth >= 1.0 or place % 1.0 < warmth / size
 
     def pick(self, held: Held) -> Server | None:
         """The server for the next attempt, or none for now."""
         primary = self.primary(held.request.group)
         members = self.groups.get(held.request.group, ())
         if held.kind.read == "write" or held.kind.read == "fresh":
-            fit = primary and primary.id not in held.tried and self.has_room(primary, held, len(members))
+            fit = primary and primary.id not in held.tried and self.has_room(primary, held)
             return primary if fit else None
         need = self.needed(held, self.now)
         free = [s for s in members if not s.drained and s.id not in held.tried]
@@ -269,7 +268,7 @@
         trial = [s for s in able if s.retry_at and self.now >= s.retry_at and not s.waiting]
         if trial and well and held.attempts == 0 and (trial[0].silent or not self.probe(trial[0])):
             return trial[0]
-        room = [s for s in well or trial or able if self.has_room(s, held, len(well or trial or able))]
+        room = [s for s in well or trial or able if self.has_room(s, held)]
         return min(room, key=lambda s: self.cost(s, primary), default=None)
 
     def on_request(self, request: api.Request) -> None:
@@ -435,7 +434,8 @@
     def probe(self, server: Server) -> bool:
         """Probe only for what the next decision needs: hundreds of gateways ask the same servers."""
         if self.now >= server.probe_at and self.set.may_probe and self.set.reports != "none":
-            server.probing, server.probe_at = True, self.now + self.ask_every
+            server.probe_at = self.now + max(ASK_EVERY, self.set.gateways * ASK_TOGETHER)
+            server.probing = True
             self.out.append(api.Probe(server.id))
         return server.probing
 
