A connection that came to nothing after idling is closed before the next send to that server

Told from a hang by the idle time before it and a calm strain of the server. Change: after such an attempt the server's idle limit is half of that idle time, slowly trusted again by answers; a longer idle connection is closed before the send. It covers resets after idling; where a server hangs it costs a handshake.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -501,3 +501,14 @@
     for index in range(20):
         world.ask(f"r{index}", "status", since_write=400 * MS)
         assert 3 not in sent(world)
+
+
+def test_a_connection_that_came_to_nothing_after_idling_is_closed_before_the_next_send():
+    world = World(group(1))
+    world.known(2)
+    for name, status in (("r", "ok"), ("s", "timeout")):
+        world.ask(name, "any", after=2 * SECOND)
+        assert sent(world) == [2] and world.of(CloseIdle) == []
+        world.end(name, 2, status, after=100 * MS)
+    world.ask("t", "any", after=2 * SECOND)
+    assert [type(action) for action in world.out][:2] == [CloseIdle, Send]
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -16,17 +16,14 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 NEVER_RAN = ("full", "connect_failed", "moot", "miss")
 TOKENS = 5000  # remembered; the oldest fold into their group's floor, so that memory stays bounded
-LIST_LAG = SECOND  # a changed list speaks of at least this long ago: hand-overs are told late
-PRIMARY_PENALTY = 3.0  # a primary takes reads when replicas look this much dearer: writes have no other home
-FAR_PENALTY = 1.5  # another zone is chosen when the own zone looks this much dearer
-CALM = 0.25  # latency as a share of the aim, where nothing is known yet
+PRIMARY_PENALTY, FAR_PENALTY = 3.0, 1.5  # a primary, another zone is chosen when others look so much dearer
+CALM, LIMIT = 0.25, 4.0  # latency as a share of the aim, and what may be outstanding, at an unknown server
 FULL_STRAIN = 0.4  # the mean share of the aim at which a server is full: the tail still makes its aim
 MEMORY, YIELD = 5 * SECOND, 1.5  # at most 1.5 times what came back in time lately is sent: room to grow again
-LIMIT = 4.0  # may be outstanding at a server of which nothing is known
 SILENT_WORK, SILENT_TIME = 8.0, 2.5  # silent: outstanding requests waited so many usual times together; each
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
 ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
-SCARCE = 5 * SECOND  # how long after a refused connection none is kept idle
+IDLE, SCARCE = 30 * SECOND, 5 * SECOND  # a connection may idle so long; none, so long after one was refused
 LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
 
 
@@ -37,13 +34,13 @@
         self.id, self.zone, self.group = member.server, member.zone, member.group
         self.position = self.heard = self.lag = self.started = self.probe_at = 0
         self.role_at = {True: -1, False: -1}  # when it was last known to be primary, and not to be
-        self.listed_primary = self.drained = False
         self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
         self.limit = LIMIT  # how much may be outstanding there; more waits here, where it is ordered
         self.waiting: dict[tuple[str, int], Attempt] = {}  # what is outstanding, oldest first
         self.failures = self.retry_at = self.rest = self.rest_until = self.refused_at = 0
-        self.silent = self.probing = False
+        self.listed_primary = self.drained = self.silent = self.probing = False
         self.answered_at = now
+        self.idle_limit = IDLE  # a connection unused for longer may be dead: it is closed before a send
 
     def is_primary(self) -> bool:
         """Freshest evidence wins; a role heard true counts from when it was true."""
@@ -61,6 +58,7 @@
     held: Held
     server: Server
     sent_at: int
+    idle: int  # how long its connection had been unused
     cancelled: bool = False
 
 
@@ -121,8 +119,7 @@
                 del self.servers[server.id]
                 self.groups[server.group].remove(server)
         for member in members:
-            server = self.servers.get(member.server)
-            if server is None:
+            if (server := self.servers.get(member.server)) is None:
                 server = self.servers[member.server] = Server(member, self.now)
                 self.groups.setdefault(member.group, []).append(server)
                 self.most[member.group] = max(self.most.get(member.group, 0), len(self.groups[member.group]))
@@ -131,7 +128,7 @@
                 server.limit, server.started, server.role_at[True] = LIMIT, member.started, -1
                 server.lag, server.heard = self.set.cold, self.now
             if member.primary and not server.listed_primary:
-                told = self.now - LIST_LAG if event.kind == "delta" else 0
+                told = self.now - SECOND if event.kind == "delta" else 0  # hand-overs are told late
                 server.role_at[True] = max(server.role_at[True], told)
             server.listed_primary, server.drained = member.primary, member.state == "draining"
 
@@ -166,8 +163,8 @@
     def answered(self, server: Server, kind: api.RequestClass, event: api.Outcome) -> None:
         """An answer sets the server's strain, and by it how much may be outstanding there."""
         weight = 0.5 - 0.4 * exp((server.strained_at - self.now) / (2 * SECOND))
-        server.strain += weight * (min(event.latency / kind.aim, 4.0) - server.strain)
-        server.strained_at = self.now
+        strain = server.strain + weight * (min(event.latency / kind.aim, 4.0) - server.strain)
+        server.strain, server.strained_at = strain, self.now
         self.usual[kind.name] += 0.02 * (event.latency - self.usual[kind.name])
         if server.strain > FULL_STRAIN:
             server.limit = max(1.0, 0.95 * server.limit)
@@ -190,8 +187,8 @@
         """A hung server takes work and answers nothing; only one's own requests out there can tell."""
         oldest = next(iter(server.waiting.values()))
         since = max(server.answered_at, oldest.sent_at)
-        strain = CALM if server.silent else min(1.0, max(CALM, self.strain_of(server)))  # trials are short
-        usual = oldest.held.kind.aim * strain
+        patience = CALM if server.silent else min(1.0, max(CALM, self.strain_of(server)))
+        usual = oldest.held.kind.aim * patience
         waited = sum(self.now - max(since, attempt.sent_at) for attempt in server.waiting.values())
         enough = server.silent or waited >= SILENT_WORK * usual
         if not enough or self.now - since < SILENT_TIME * usual:
@@ -237,7 +234,7 @@
     def has_room(self, server: Server, held: Held) -> bool:
         """Outstanding stays under the limit; reads that others can serve leave writes half of a primary.
 
-        A cold one takes its warmth's part of what a member gets when all are well, by its own slice of lots:
+        A cold one takes, by its own slice of lots, its warmth's part of what a member gets when all are well:
         calm looks draw no more to it, and hundreds of gateways, or a group come back cold, count no others.
         """
         alone, warmth = held.kind.read in ("write", "fresh"), self.warmth(server)
@@ -262,8 +259,7 @@
         if all(s is primary for s in well) and self.now - held.arrived < held.kind.aim / 8:
             stale = [s for s in free if s not in able and s.retry_at == 0 and s.heard < self.now - ASK_EVERY]
             likely = [s for s in stale if self.likely(s) >= need]
-            best = min(likely, key=lambda s: self.cost(s, primary), default=None)
-            if best and self.probe(best):  # its position may be had for a probe's short wait
+            if likely and self.probe(min(likely, key=lambda s: self.cost(s, primary))):  # a short wait
                 return None
         trial = [s for s in able if s.retry_at and self.now >= s.retry_at and not s.waiting]
         if trial and well and held.attempts == 0 and (trial[0].silent or not self.probe(trial[0])):
@@ -280,8 +276,7 @@
         if kind.read == "session" and self.set.tokens == "carried":
             held.need = self.now - request.since_write if request.since_write else 0
         elif kind.read == "session":
-            token, _ = self.tokens.get(request.session, (0, 0))
-            held.need = max(token, self.floors.get(request.group, 0))
+            held.need = max(self.tokens.get(request.session, (0, 0))[0], self.floors.get(request.group, 0))
         self.route(held)
 
     def may_resend(self, held: Held) -> bool:
@@ -299,8 +294,10 @@
         if server is None:
             return self.hold(held)
         self.unhold(held)
-        key = held.request.id, held.attempts
-        server.waiting[key] = self.attempts[key] = Attempt(held, server, self.now)
+        key, idle = (held.request.id, held.attempts), 0 if server.waiting else self.now - server.answered_at
+        if idle > server.idle_limit:
+            self.out.append(api.CloseIdle(server.id))
+        server.waiting[key] = self.attempts[key] = Attempt(held, server, self.now, idle)
         if server.retry_at:  # one trial at a time
             server.retry_at = self.now + BACKOFF * (1 << min(server.failures, 3))
         held.attempts += 1
@@ -314,12 +311,12 @@
     def admits(self, held: Held) -> bool:
         """Servers that answer late or "full" get less, the least worth first: retries would keep queues full.
 
-        One gateway sees too little of one server to tell, so all its servers count together. It could hurt
-        where a third of all attempts fail for another reason; lost connections and misses do not count.
+        One gateway sees too little of one server, so all count together, but not misses or lost connections.
+        It could hurt where a third of all attempts fail for another reason.
         """
         share = (YIELD * self.tally[1] + 1) / max(self.tally[0], 1.0)
-        ranked = [name for name, late in self.ranking if not late]
-        better = sum(self.asked[name] for name in ranked[: ranked.index(held.kind.name)])
+        rank = self.ranking.index((held.kind.name, False))
+        better = sum(self.asked[name] for name, late in self.ranking[:rank] if not late)
         first = better + held.lot * self.asked[held.kind.name] <= share * sum(self.asked.values())
         if not (first or held.lot < share / 4):  # a little of each class, else none may be left to try
             self.count(False)
@@ -366,30 +363,33 @@
         """Learn from how an attempt ended; answer, resend or give up its request."""
         if (attempt := self.attempts.pop((event.id, event.attempt), None)) is None:
             return
-        server, kind = attempt.server, attempt.held.kind
-        server.waiting.pop((event.id, event.attempt), None)
+        server, kind, status = attempt.server, attempt.held.kind, event.status
+        del server.waiting[event.id, event.attempt]
         self.learn_answer(server, event, attempt)
         self.learn_report(server, event.report)
-        refused = event.status == "connect_failed" and event.latency < self.set.connect_timeout / 2
+        unheard = status not in NEVER_RAN and attempt.idle > event.latency // 4
+        if status == "ok":  # slowly trusted again
+            server.rest, server.idle_limit = 0, min(IDLE, int(1.2 * server.idle_limit))
+        elif unheard and self.strain_of(server) < FULL_STRAIN:  # a calm server: it was the connection
+            server.idle_limit = min(server.idle_limit, attempt.idle) // 2
+        refused = status == "connect_failed" and event.latency < self.set.connect_timeout / 2
         if refused:  # a probe tells a dead process from one that takes no more connections
             server.refused_at = self.now
             self.probe(server)
-        elif event.status in ("connect_failed", "reset"):
+        elif status in ("connect_failed", "reset"):
             self.doubt(server, silent=False)
-        elif event.status in ("ok", "miss", "error", "full"):
+        elif status in ("ok", "miss", "error", "full"):
             server.trust()
             server.answered_at = self.now
         if self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
             self.out.append(api.CloseIdle(server.id))
-        server.rest = server.rest if event.status in NEVER_RAN else 0
-        if event.status == "full" or refused:  # to be asked presses it too: hundreds must not do so at once
+        if status == "full" or refused:  # to be asked presses it too: hundreds must not do so at once
             server.rest = min(2 * server.rest or kind.aim // 4, SECOND)
             server.rest_until = self.now + int(server.rest * (0.5 + self.random.random()))
-        if event.status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
+        if status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
             self.answered(server, kind, event)
-        overdue = event.status == "timeout" and event.latency > self.usual[kind.name]
-        if overdue or event.status in ("ok", "full"):
-            self.count(event.status == "ok" and event.latency <= kind.aim)
+        if status in ("ok", "full") or (status == "timeout" and event.latency > self.usual[kind.name]):
+            self.count(status == "ok" and event.latency <= kind.aim)
         self.settle(event, attempt)
         self.route_waiting(server.group)
 
