--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -87,7 +87,7 @@
         self.random = random.Random(settings.seed)
         self.servers: dict[int, Server] = {}
         self.groups: dict[int, list[Server]] = {}
-        self.tally = {True: (0.0, 0.0, 0), False: (0.0, 0.0, 0)}  # of primaries, replicas: wanted, in time, when
+        self.tally, self.tallied_at = [0.0, 0.0], 0  # wanted of any server lately; answered in time
         self.asked = dict.fromkeys(self.kinds, 1e-9)  # each class's part of the requests
         self.most: dict[int, int] = {}  # the most members that each group has had
         self.requests: dict[str, Held] = {}
@@ -288,12 +288,11 @@
 
     def route(self, held: Held) -> None:
         """Send a request now, hold it, or give it up."""
-        if not self.may_resend(held) or self.hopeless(held):
+        if not self.may_resend(held) or self.hopeless(held) or not self.admits(held):
             return self.give_up(held)
-        if (server := self.pick(held)) is None:
+        server = self.pick(held)
+        if server is None:
             return self.hold(held)
-        if not self.admits(held, server):
-            return self.give_up(held)
         self.unhold(held)
         key, idle = (held.request.id, held.attempts), 0 if server.waiting else self.now - server.answered_at
         if idle > server.idle_limit:
@@ -304,25 +303,23 @@
         held.attempts += 1
         self.out.append(api.Send(held.request.id, server.id, held.request.expires))
 
-    def count(self, server: Server, good: bool) -> None:
+    def count(self, good: bool) -> None:
         """Remember for a while how many attempts were wanted and how many came to something in time."""
-        wanted, useful, at = self.tally[server.is_primary()]
-        fade = exp((at - self.now) / MEMORY)
-        self.tally[server.is_primary()] = wanted * fade + 1, useful * fade + good, self.now
+        fade = exp((self.tallied_at - self.now) / MEMORY)
+        self.tally, self.tallied_at = [self.tally[0] * fade + 1, self.tally[1] * fade + good], self.now
 
-    def admits(self, held: Held, server: Server) -> bool:
+    def admits(self, held: Held) -> bool:
         """Servers that answer late or "full" get less, the least worth first: retries would keep queues full.
 
-        One gateway sees too little of one server, so all primaries and all replicas count together, but not
-        misses or lost connections. It could hurt where a third of all attempts fail for another reason.
+        One gateway sees too little of one server, so all count together, but not misses or lost connections.
+        It could hurt where a third of all attempts fail for another reason.
         """
-        wanted, useful, _ = self.tally[server.is_primary()]
-        share = (YIELD * useful + 1) / max(wanted, 1.0)
+        share = (YIELD * self.tally[1] + 1) / max(self.tally[0], 1.0)
         rank = self.ranking.index((held.kind.name, False))
         better = sum(self.asked[name] for name, late in self.ranking[:rank] if not late)
         first = better + held.lot * self.asked[held.kind.name] <= share * sum(self.asked.values())
         if not (first or held.lot < share / 4):  # a little of each class, else none may be left to try
-            self.count(server, False)
+            self.count(False)
         return first or held.lot < share / 4
 
     def hopeless(self, held: Held) -> bool:
@@ -392,7 +389,7 @@
         if status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
             self.answered(server, kind, event)
         if status in ("ok", "full") or (status == "timeout" and event.latency > self.usual[kind.name]):
-            self.count(server, status == "ok" and event.latency <= kind.aim)
+            self.count(status == "ok" and event.latency <= kind.aim)
         self.settle(event, attempt)
         self.route_waiting(server.group)
 
