--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -384,7 +384,7 @@
         if self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
             self.out.append(api.CloseIdle(server.id))
         if status == "full" or refused:  # to be asked presses it too: hundreds must not do so at once
-            server.rest = min(2 * server.rest or kind.aim // 2, max(SECOND, self.set.gateways * 10 * MS))
+            server.rest = min(2 * server.rest or kind.aim // 4, SECOND)
             server.rest_until = self.now + int(server.rest * (0.5 + self.random.random()))
         if status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
             self.answered(server, kind, event)
