--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -16,7 +16,7 @@
 MS, SECOND = 1_000_000, 1_000_000_000
 NEVER_RAN = ("full", "connect_failed", "moot", "miss")
 TOKENS = 5000  # remembered; the oldest fold into their group's floor, so that memory stays bounded
-PRIMARY_PENALTY, FAR_PENALTY = 3.0, 3.0  # a primary, another zone is chosen when others look so much dearer
+PRIMARY_PENALTY, FAR_PENALTY = 3.0, 1.5  # a primary, another zone is chosen when others look so much dearer
 CALM, LIMIT = 0.25, 4.0  # latency as a share of the aim, and what may be outstanding, at an unknown server
 FULL_STRAIN = 0.4  # the mean share of the aim at which a server is full: the tail still makes its aim
 MEMORY, YIELD = 5 * SECOND, 1.5  # at most 1.5 times what came back in time lately is sent: room to grow again
