A server unheard for seconds counts as strained as its zone, not as calm

The servers were not at fault: their own zone's gateways had answers in time. Change: strain ages towards the mean of the zone's answers. It covers herds to a returned server under general strain, and judges a path apart from one server; it could hurt where one bad server makes its zone look bad.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -512,3 +512,17 @@
         world.end(name, 2, status, after=100 * MS)
     world.ask("t", "any", after=2 * SECOND)
     assert [type(action) for action in world.out][:2] == [CloseIdle, Send]
+
+
+def test_a_slow_way_to_a_zone_keeps_reads_from_its_unheard_servers():
+    members = [Member(1, "a", 0, True, "ready"), Member(2, "a", 0, False, "ready")]
+    members += [Member(3 + index, "b", 0, False, "ready") for index in range(8)]
+    world = World(members)
+    for index in range(8):
+        world.router.servers[2].drained = index < 7  # the own zone's replica is away at first
+        world.ask(f"r{index}", "any", after=500 * MS)
+        for server in sent(world):
+            world.end(f"r{index}", server, after=350 * MS, role=Role.REPLICA)
+    world.ask("next", "any", after=8 * SECOND)
+    assert sent(world) == [2]
+    assert all(world.router.strain_of(world.router.servers[3 + index]) > 0.3 for index in range(8))
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict
+from collections import OrderedDict, defaultdict
 from dataclasses import dataclass, field
 from math import exp
 
@@ -88,6 +88,7 @@
         self.servers: dict[int, Server] = {}
         self.groups: dict[int, list[Server]] = {}
         self.tally, self.tallied_at = [0.0, 0.0], 0  # wanted of any server lately; answered in time
+        self.zones: defaultdict[str, float] = defaultdict(lambda: CALM)  # strain of each zone's servers
         self.asked = dict.fromkeys(self.kinds, 1e-9)  # each class's part of the requests
         self.most: dict[int, int] = {}  # the most members that each group has had
         self.requests: dict[str, Held] = {}
@@ -163,8 +164,9 @@
     def answered(self, server: Server, kind: api.RequestClass, event: api.Outcome) -> None:
         """An answer sets the server's strain, and by it how much may be outstanding there."""
         weight = 0.5 - 0.4 * exp((server.strained_at - self.now) / (2 * SECOND))
-        strain = server.strain + weight * (min(event.latency / kind.aim, 4.0) - server.strain)
-        server.strain, server.strained_at = strain, self.now
+        part, zone = min(event.latency / kind.aim, 4.0), server.zone
+        self.zones[zone] += weight / 4 * (part - self.zones[zone])
+        server.strain, server.strained_at = server.strain + weight * (part - server.strain), self.now
         self.usual[kind.name] += 0.02 * (event.latency - self.usual[kind.name])
         if server.strain > FULL_STRAIN:
             server.limit = max(1.0, 0.95 * server.limit)
@@ -172,8 +174,9 @@
             server.limit += 1 / server.limit
 
     def strain_of(self, server: Server) -> float:
-        """Strain grows old: a server unheard for seconds counts as calm again, so that it is tried again."""
-        return CALM + (server.strain - CALM) * exp((server.strained_at - self.now) / (4 * SECOND))
+        """A server unheard for seconds counts as its zone does: no herd to strangers, no slow way."""
+        usual = self.zones[server.zone]
+        return usual + (server.strain - usual) * exp((server.strained_at - self.now) / (4 * SECOND))
 
     def doubt(self, server: Server, silent: bool) -> None:
         """Stay away from a server for a while that doubles each time."""
@@ -190,8 +193,7 @@
         patience = CALM if server.silent else min(1.0, max(CALM, self.strain_of(server)))
         usual = oldest.held.kind.aim * patience
         waited = sum(self.now - max(since, attempt.sent_at) for attempt in server.waiting.values())
-        enough = server.silent or waited >= SILENT_WORK * usual
-        if not enough or self.now - since < SILENT_TIME * usual:
+        if self.now - since < SILENT_TIME * usual or not (server.silent or waited >= SILENT_WORK * usual):
             return
         self.doubt(server, silent=True)
         for key, attempt in server.waiting.items():  # reads go elsewhere; writes may yet be answered
@@ -226,8 +228,7 @@
 
     def cost(self, server: Server, primary: Server | None) -> float:
         """What a further request may expect to wait there, in usual latencies; chance turns over equals."""
-        cost = (len(server.waiting) + 1) * self.strain_of(server)
-        cost *= 1 + 0.2 * self.random.random()
+        cost = (len(server.waiting) + 1) * self.strain_of(server) * (1 + 0.2 * self.random.random())
         cost *= FAR_PENALTY if server.zone != self.set.zone else 1.0
         return cost * PRIMARY_PENALTY if server is primary else cost
 
@@ -367,10 +368,9 @@
         del server.waiting[event.id, event.attempt]
         self.learn_answer(server, event, attempt)
         self.learn_report(server, event.report)
-        unheard = status not in NEVER_RAN and attempt.idle > event.latency // 4
         if status == "ok":  # slowly trusted again
             server.rest, server.idle_limit = 0, min(IDLE, int(1.2 * server.idle_limit))
-        elif unheard and self.strain_of(server) < FULL_STRAIN:  # a calm server: it was the connection
+        elif status not in NEVER_RAN and attempt.idle > event.latency and server.strain < FULL_STRAIN:
             server.idle_limit = min(server.idle_limit, attempt.idle) // 2
         refused = status == "connect_failed" and event.latency < self.set.connect_timeout / 2
         if refused:  # a probe tells a dead process from one that takes no more connections
