First message checked field by field; settings that no decision uses leave the interface; cancel only where allowed

A wrong type in lag_allowed, class_read or domain, or an impossible number, ends in a `die` that names the field. Tests of ghosts, an empty list, a server that drained and came back, and a thousand gateways.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -43,8 +43,6 @@
         base |= {
             "cold": 18 * SECOND,
             "cold_share": 0.3,
-            "tip_multiple": 2.5,
-            "fall": SECOND,
             "period": 5 * MS,
         }
         self.router = Router(Settings(**(base | settings)))
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -166,3 +166,19 @@
     lines = (ROOT / "yardbank" / "policy.py").read_text().splitlines()
     assert sum(1 for line in lines if line.strip()) <= 400
     assert max(map(len, lines)) <= 110
+
+
+def test_a_first_message_with_wrong_types_names_the_field():
+    for change, name in (
+        ({"domain": None}, "domain"),
+        ({"domain": 7}, "domain"),
+        ({"domain": {**ENV["domain"], "lag_allowed": ["soon", 0]}}, "lag_allowed"),
+        ({"domain": {**ENV["domain"], "class_read": [1, 2]}}, "class_read"),
+        ({"domain": {**ENV["domain"], "patience": -1}}, "patience"),
+        ({"fleet_size": 0}, "gateways"),
+        ({"period": 0}, "period"),
+        ({"services": []}, "classes"),
+    ):
+        replies, errors = pipe({"now": 1, "items": [{**START[0], "env": {**ENV, **change}}]})
+        assert [step["kind"] for step in replies[0]] == ["die"], change
+        assert name in errors and "Traceback" not in errors
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -204,7 +204,7 @@
     taken = 0
     for seed in range(400):  # a request each: one at least from each would be as much as all servers get
         world = World(group(3), seed=seed, gateways=400)
-        world.feed(ServerList("delta", (Member(4, "a", 0, False, "ready", 1.0, world.now),)))
+        world.feed(ServerList("delta", (Member(4, "a", 0, False, "ready", world.now),)))
         for server in (1, 2, 3):  # calm looks must not draw more to it
             world.router.servers[server].strain = 2.0
         world.ask("r", "any")
@@ -496,7 +496,7 @@
 def test_a_returning_server_starts_behind_and_with_a_fresh_limit():
     world = World(group(2), tokens="carried", checks="refuse")
     world.router.servers[3].limit = 30.0
-    world.feed(ServerList("delta", (Member(3, "a", 0, False, "ready", 1.0, world.now),)))
+    world.feed(ServerList("delta", (Member(3, "a", 0, False, "ready", world.now),)))
     assert world.router.servers[3].limit < 5
     for index in range(20):
         world.ask(f"r{index}", "status", since_write=400 * MS)
@@ -526,3 +526,28 @@
     world.ask("next", "any", after=8 * SECOND)
     assert sent(world) == [2]
     assert all(world.router.strain_of(world.router.servers[3 + index]) > 0.3 for index in range(8))
+
+
+def test_ghosts_an_old_list_and_a_thousand_gateways_are_legal():
+    world = World(group(2), gateways=1000, only_draining_binds=True)
+    ghosts = tuple(Member(90 + index, "a", 0, False, "ready") for index in range(5))
+    world.feed(ServerList("delta", ghosts))
+    for index in range(30):  # a ghost refuses: it is rested, probed, doubted, and the others serve
+        world.ask(f"r{index}", "any", after=100 * MS)
+        for (name, number), attempt in list(world.router.attempts.items()):
+            ghost = attempt.server.id >= 90
+            world.end(name, attempt.server.id, "connect_failed" if ghost else "ok", number, after=MS)
+        for action in world.of(Probe):
+            world.feed(Probed(action.server, "connect_failed", MS))
+        answer_all(world, "ok")
+    assert not world.router.attempts
+    world.feed(ServerList("full", tuple(group(2))))
+    assert set(world.router.servers) >= {1, 2, 3}
+    world.feed(ServerList("full", ()))
+    world.ask("last", "commit")
+    assert sent(world) == [1]  # left out of the list is no draining here
+    world.feed(ServerList("full", (Member(1, "a", 0, True, "draining"),)))
+    world.feed(ServerList("full", ()))
+    world.feed(ServerList("full", (Member(1, "a", 0, True, "ready"),)))
+    world.ask("back", "commit")
+    assert sent(world) == [1]  # it drained, left the list, and came back
--- a/yardbank/adapter.py
+++ b/yardbank/adapter.py
@@ -71,6 +71,7 @@
         raise WireError("field 'class_read' names too few classes")
     classes = []
     for index, service in enumerate(services):
+        bound = {"lag_allowed": bounds[index]} if index < len(bounds) else {}
         classes.append(
             api.RequestClass(
                 name=field(service, "name", str),
@@ -82,13 +83,9 @@
                 scope=field(service, "key_scope", str, "all"),
                 window=field(service, "window", int, 0),
                 read=word({"class_read": reads[index]}, "class_read", READS),
-                staleness_bound=bounds[index] if index < len(bounds) else 0,
+                staleness_bound=field(bound, "lag_allowed", int, 0),
             )
         )
-    tenants = {
-        field(tenant, "name", str): field(tenant, "allowance_per_s", NUMBER, 0.0)
-        for tenant in field(env, "tenants", list, [])
-    }
     return api.Settings(
         seed=seed,
         zone=field(env, "zone", str, ""),
@@ -101,21 +98,14 @@
         reports=word(field(env, "reporting", dict, {}), "via", REPORTS, "silent"),
         period=field(env, "period", int, 1_000_000),
         max_attempts=field(limits, "max_attempts", int, 1),
-        second_copies=field(limits, "second_copies", bool, False),
         may_cancel=field(limits, "cancel", bool, False),
         may_probe=field(limits, "probes", bool, False),
         connect_timeout=field(limits, "connect_timeout", int, 250_000_000),
         max_retry_after=field(limits, "max_retry_after", int, 0) if limits.get("retry_after") else 0,
         subscribe=field(env, "registry_mode", str, "automatic") == "subscribe",
-        drain_grace=field(rules, "drain_grace", int, 0),
-        answer_grace=field(rules, "grace_to_answer", int, 0),
         cold=field(rules, "cold", int, 0),
         cold_share=field(rules, "start_capacity", NUMBER, 1.0),
-        tip_multiple=field(rules, "tip_multiple", NUMBER, 1.0),
-        fall=field(rules, "fall", int, 1_000_000_000),
         only_draining_binds=field(rules, "dropped_stay_open", bool, False),
-        tenants=tenants,
-        over_share_worth=field(env, "over_share_worth", NUMBER, 1.0),
     )
 
 
@@ -127,7 +117,6 @@
         group=field(entry, "shard", NUMBER, 0),
         primary=field(entry, "head", NUMBER, 0) == 1,
         state=word(entry, "mode", STATES),
-        weight=field(entry, "weight", NUMBER, 1.0),
         started=field(entry, "up_since", int, 0),
     )
 
--- a/yardbank/interface.py
+++ b/yardbank/interface.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import IntEnum
 
 
@@ -38,6 +38,8 @@
         _require(self.deadline > 0, f"classes[{self.name}].deadline must be positive")
         _require(self.effect in ("safe", "keyed", "unsafe"), f"classes[{self.name}].effect: {self.effect!r}")
         _require(self.scope in ("all", "zone", "cell"), f"classes[{self.name}].scope: {self.scope!r}")
+        _require(self.worth >= 0, f"classes[{self.name}].worth must not be negative")
+        _require(self.staleness_bound >= 0, f"classes[{self.name}].staleness_bound must not be negative")
         reads = ("any", "bounded", "session", "fresh", "write")
         _require(self.read in reads, f"classes[{self.name}].read: {self.read!r}")
 
@@ -57,21 +59,14 @@
     reports: str = "none"  # answers | probe | none
     period: int = 1_000_000  # least time between two batches
     max_attempts: int = 1
-    second_copies: bool = False
     may_cancel: bool = False
     may_probe: bool = False
     connect_timeout: int = 250_000_000  # a connection that is not up by then has failed
     max_retry_after: int = 0  # the longest retry-after a refusal may carry; 0: none
     subscribe: bool = False  # the list must be asked for
-    drain_grace: int = 0
-    answer_grace: int = 0
     cold: int = 0  # a started server is warm by then
     cold_share: float = 1.0  # the share of its capacity that it starts with
-    tip_multiple: float = 1.0
-    fall: int = 1_000_000_000
     only_draining_binds: bool = False  # a server that is merely gone may still be sent to
-    tenants: dict[str, float] = field(default_factory=dict)  # requests a second within the share
-    over_share_worth: float = 1.0
 
     def __post_init__(self) -> None:
         _require(self.gateways > 0, "gateways must be positive")
@@ -82,7 +77,8 @@
         _require(len({c.name for c in self.classes}) == len(self.classes), "classes must have distinct names")
         _require(self.period > 0, "period must be positive")
         _require(self.max_attempts > 0, "max_attempts must be positive")
-        _require(self.fall > 0, "fall must be positive")
+        _require(self.cold >= 0, "cold must not be negative")
+        _require(self.patience >= 0, "patience must not be negative")
         _require(0 < self.cold_share <= 1, "cold_share must be above 0 and at most 1")
 
 
@@ -100,7 +96,6 @@
     group: int
     primary: bool
     state: str  # ready | draining | gone
-    weight: float = 1.0
     started: int = 0  # 0: long ago
 
 
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -198,7 +198,7 @@
         self.doubt(server, silent=True)
         for key, attempt in server.waiting.items():  # reads go elsewhere; writes may yet be answered
             safe = attempt.held.kind.effect == "safe" and not attempt.cancelled
-            if safe and self.may_resend(attempt.held):
+            if safe and self.set.may_cancel and self.may_resend(attempt.held):
                 attempt.cancelled = True
                 self.out.append(api.Cancel(*key))
 
