--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -376,9 +376,9 @@
         if refused:  # a probe tells a dead process from one that takes no more connections
             server.refused_at = self.now
             self.probe(server)
-        elif status in ("connect_failed", "reset", "error"):  # errors: a ghost of the list looks calm, too
+        elif status in ("connect_failed", "reset"):
             self.doubt(server, silent=False)
-        elif status in ("ok", "miss", "full"):
+        elif status in ("ok", "miss", "error", "full"):
             server.trust()
             server.answered_at = self.now
         if self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
