--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+# Both targets set up all they need in .venv-dev; nothing else has to be installed first.
+VENV := .venv-dev
+PY := $(VENV)/bin/python
+
+.PHONY: demo test lint bench clean
+
+$(VENV)/ready: pyproject.toml
+	test -d $(VENV) || python3 -m venv $(VENV)
+	$(PY) -m pip -q install --disable-pip-version-check -e '.[dev]'
+	touch $(VENV)/ready
+
+demo: $(VENV)/ready
+	$(PY) -m yardbank demo
+
+lint: $(VENV)/ready
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
+
+test: lint
+	$(PY) -m pytest -q
+
+bench: $(VENV)/ready
+	$(PY) -m pip -q install --disable-pip-version-check -e '.[dev,bench]'
+	$(PY) -m benchmarks
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/yardbank/__main__.py
@@ -0,0 +1,5 @@
+"""``python -m yardbank``."""
+
+from yardbank.cli import main
+
+main()
--- /dev/null
+++ b/yardbank/cli/__init__.py
@@ -0,0 +1,21 @@
+"""The command line: one command a file (click), results on standard output, faults on standard error."""
+
+from __future__ import annotations
+
+import click
+
+from yardbank.cli.audit import audit
+from yardbank.cli.check import check
+from yardbank.cli.demo import demo
+from yardbank.cli.serve import serve
+from yardbank.cli.standin import standin
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(package_name="yardbank")
+def main() -> None:
+    """A database proxy that splits reads and writes across primaries and replicas."""
+
+
+for command in (serve, check, demo, standin, audit):
+    main.add_command(command)
--- /dev/null
+++ b/yardbank/cli/common.py
@@ -0,0 +1,45 @@
+"""What several commands share: settings or a plain fault, logs, exit codes."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from pathlib import Path
+from typing import Any
+
+import click
+import structlog
+
+from yardbank.config import Config, ConfigError, load
+
+EXIT_FAULT = 2  # bad settings, arguments or input
+
+
+def load_or_exit(path: Path) -> Config:
+    """Checked settings; otherwise one line for each fault and exit code 2."""
+    try:
+        return load(path)
+    except ConfigError as problem:
+        for fault in problem.faults:
+            click.echo(f"yardbank: {fault}", err=True)
+        sys.exit(EXIT_FAULT)
+
+
+def set_up_logs(level: str, form: str) -> Any:
+    """Structured logs on standard error: JSON lines or a console."""
+    renderer: Any = (
+        structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(colors=False)
+    )
+    structlog.configure(
+        processors=[
+            structlog.contextvars.merge_contextvars,
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            renderer,
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=False,
+    )
+    return structlog.get_logger()
--- /dev/null
+++ b/yardbank/cli/serve.py
@@ -0,0 +1,32 @@
+"""``yardbank serve FILE``."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from yardbank.cli.common import EXIT_FAULT, load_or_exit, set_up_logs
+
+
+@click.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--workers", type=click.IntRange(1, 64), default=1, show_default=True, help="Processes on one port.")
+@click.option("--record", type=click.Path(path_type=Path), help="Write what happens to this file, as JSON lines.")
+@click.option("--worker", type=int, hidden=True, help="This process is worker N of --workers.")
+def serve(file: Path, workers: int, record: Path | None, worker: int | None) -> None:
+    """Run a gateway by the settings in FILE. SIGTERM drains and stops it, SIGHUP reads FILE again."""
+    from yardbank.daemon import run_supervisor, run_worker
+
+    config = load_or_exit(file)
+    log = set_up_logs(config.logging.level, config.logging.format)
+    try:
+        if workers > 1 and worker is None:
+            code = run_supervisor(file, config, workers, record, log)
+        else:
+            code = run_worker(file, config, workers, worker, record, log)
+    except OSError as problem:
+        click.echo(f"yardbank: {file}: cannot listen: {problem.strerror or problem}", err=True)
+        sys.exit(EXIT_FAULT)
+    sys.exit(code)
--- /dev/null
+++ b/yardbank/config/build.py
@@ -0,0 +1,107 @@
+"""From checked settings to what the gateway, its fronts and its backends are made with."""
+
+from __future__ import annotations
+
+import secrets
+
+from yardbank.config.schema import Config, Listener
+from yardbank.gateway.api import Limits, ServerSpec
+from yardbank.interface import RequestClass, Settings
+from yardbank.ldap import filters
+from yardbank.ldap.backend import BackendOptions
+from yardbank.ldap.classify import SCOPES, Classifier, Rule
+from yardbank.ldap.front import FrontOptions
+
+STRICT_READ, STRICT_WRITE = "strict-read", "strict-write"
+
+
+def request_classes(config: Config) -> tuple[RequestClass, ...]:
+    """The configured classes and the two strictest ones."""
+    found = [
+        RequestClass(k.name, k.aim, k.deadline, k.worth, k.late_worth, k.effect, k.scope, k.window, k.read, k.staleness)
+        for k in config.classes
+    ]
+    times = config.strict
+    found.append(RequestClass(STRICT_READ, times.aim, times.deadline, 1.0, 0.2, "safe", read="fresh"))
+    found.append(RequestClass(STRICT_WRITE, times.aim, times.deadline, 1.0, 0.5, "unsafe", read="write"))
+    return tuple(found)
+
+
+def settings(config: Config, workers: int = 1) -> Settings:
+    """The decision module's settings; each worker is a gateway of its own."""
+    gateway, limits = config.gateway, config.limits
+    return Settings(
+        seed=gateway.seed if gateway.seed is not None else secrets.randbits(48),
+        zone=gateway.zone,
+        gateways=gateway.gateways * workers,
+        classes=request_classes(config),
+        checks="none",
+        tokens="remembered",
+        tells_position=False,
+        reports="probe",
+        period=gateway.period,
+        max_attempts=gateway.max_attempts,
+        may_cancel=True,
+        may_probe=True,
+        connect_timeout=limits.connect_timeout,
+        max_retry_after=gateway.max_retry_after,
+        cold=gateway.cold,
+        cold_share=gateway.cold_share,
+    )
+
+
+def limits(config: Config) -> Limits:
+    """Bounds of one gateway."""
+    return Limits(**config.limits.model_dump())
+
+
+def servers(config: Config) -> tuple[ServerSpec, ...]:
+    """The list of servers."""
+    return tuple(
+        ServerSpec(s.name, s.group, s.zone, s.address, s.port, s.primary, s.state, s.started, s.weight)
+        for s in config.server
+    )
+
+
+def classifier(config: Config) -> Classifier:
+    """Rules from the classes' matches."""
+    rules = tuple(
+        Rule(
+            kind.name,
+            frozenset(match.operation),
+            filters.fold(match.base),
+            frozenset(int(SCOPES[scope]) for scope in match.scope),
+            frozenset(name.lower() for name in match.attribute),
+            frozenset(filters.fold(name) for name in match.identity),
+        )
+        for kind in config.classes
+        for match in kind.match
+    )
+    suffixes = {group.name: filters.fold(group.suffix) for group in config.group}
+    return Classifier(rules, suffixes, STRICT_READ, STRICT_WRITE)
+
+
+def front_options(config: Config, listener: Listener) -> FrontOptions:
+    """How one listener meets its clients."""
+    return FrontOptions(
+        identities={filters.fold(identity.name): identity.password for identity in config.identity},
+        anonymous=listener.anonymous,
+        session_by=listener.session,
+        naming_contexts=tuple(group.suffix for group in config.group),
+        max_message=listener.max_message,
+        max_outstanding=listener.max_outstanding,
+        max_unread=listener.max_unread,
+        max_connections=listener.max_connections,
+    )
+
+
+def backend_options(config: Config) -> BackendOptions:
+    """How servers are reached."""
+    block = config.backend[0]
+    return BackendOptions(
+        bind_dn=block.bind_dn,
+        bind_password=block.bind_password,
+        suffixes={group.name: group.suffix for group in config.group},
+        role_attribute=block.role_attribute,
+        primary_value=block.primary_value,
+    )
--- /dev/null
+++ b/yardbank/daemon/worker.py
@@ -0,0 +1,64 @@
+"""One process with one gateway. SIGTERM drains, SIGHUP reads the settings again."""
+
+from __future__ import annotations
+
+import json
+import signal
+import time
+from pathlib import Path
+from typing import IO, Any
+
+from yardbank.config import Config, ConfigError, load
+from yardbank.proxy import Proxy
+
+
+class Recorder:
+    """Facts as JSON lines, each with the machine's steady time in seconds."""
+
+    def __init__(self, path: Path, source: str) -> None:
+        self._file: IO[str] = path.open("a", encoding="utf-8")
+        self._source = source
+
+    def __call__(self, fact: dict[str, Any]) -> None:
+        """Write one line; whole lines only, so that a killed process leaves a record that can be read."""
+        line = json.dumps({"at": time.monotonic(), "source": self._source, **fact}, separators=(",", ":"))
+        self._file.write(line + "\n")
+        self._file.flush()
+
+
+def run_worker(file: Path, config: Config, workers: int, worker: int | None, record: Path | None, log: Any) -> int:
+    """Serve until told to stop; the exit code."""
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    reactor.seconds = time.monotonic  # timers must not move when the wall clock is set
+    if worker is not None:
+        log = log.bind(worker=worker)
+    proxy = Proxy(config, reactor, workers=workers, log=log, record=Recorder(record, "gateway") if record else None)
+    proxy.start()
+
+    def drain(number: int, frame: Any) -> None:
+        reactor.callFromThread(stop)
+
+    def stop() -> None:
+        proxy.stop().addCallback(lambda _: reactor.callLater(0, reactor.stop))
+
+    def hang_up(number: int, frame: Any) -> None:
+        reactor.callFromThread(reload)
+
+    def reload() -> None:
+        try:
+            proxy.reload(load(file))
+        except ConfigError as problem:
+            for fault in problem.faults:
+                log.error("reload_rejected", fault=fault)
+        except ValueError as problem:
+            log.error("reload_rejected", fault=f"{file}: {problem}")
+        else:
+            log.info("reloaded", file=str(file))
+
+    signal.signal(signal.SIGTERM, drain)
+    signal.signal(signal.SIGINT, drain)
+    signal.signal(signal.SIGHUP, hang_up)
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/yardbank/gateway/ending.py
@@ -0,0 +1,21 @@
+"""What a gateway may say of a request that it must end by itself. No I/O.
+
+The decision module ends requests on the ordinary path. It cannot when the gateway stops, or when an error in
+the program itself stands between an event and its decision; then these few rules give the answer.
+"""
+
+from __future__ import annotations
+
+from yardbank.interface import RequestClass
+
+NEVER_RAN = frozenset(("full", "connect_failed", "moot", "miss"))
+
+
+def may_be_refused(kind: RequestClass, may_have_run: bool) -> bool:
+    """A refusal says that trying again is harmless: true of what never ran, or may be repeated anyway."""
+    return not may_have_run or kind.effect == "safe" or (kind.effect == "keyed" and kind.scope == "all")
+
+
+def allowance(kind: RequestClass, time_limit: int) -> int:
+    """How long a request may take (ns): its class's deadline, cut to the client's own time limit."""
+    return min(kind.deadline, time_limit) if time_limit > 0 else kind.deadline
--- /dev/null
+++ b/yardbank/gateway/positions.py
@@ -0,0 +1,61 @@
+"""What probes and commits mean in the decision module's terms. No I/O; a timeline for each group."""
+
+from __future__ import annotations
+
+from yardbank.gateway.api import Position
+from yardbank.interface import Report
+from yardbank.timeline import Mark, References, Timeline
+
+
+class Positions:
+    """Translates marks that servers tell into positions on the gateway's clock."""
+
+    def __init__(self) -> None:
+        self._timelines: dict[int, Timeline] = {}
+        self._references: dict[int, References] = {}
+        self._group: dict[int, int] = {}
+
+    def listed(self, server: int, group: int, primary: bool, now: int) -> None:
+        """The list names a server; its word on the role counts until the server's own."""
+        self._group[server] = group
+        self._of(group)
+        references = self._references[group]
+        if primary and references.reference() is None:
+            references.told(server, True, 0)
+
+    def dropped(self, server: int) -> None:
+        """The list names it no longer."""
+        if (group := self._group.get(server)) is not None:  # its group stays known: late answers name it
+            self._references[group].forget(server)
+
+    def reference(self, server: int) -> int | None:
+        """The other server to ask along with this one, so that its marks can be placed; None: no need."""
+        reference = self._references[self._group[server]].reference()
+        return None if reference == server else reference
+
+    def role(self, server: int, primary: bool, at: int) -> None:
+        """An answer told the role."""
+        if server in self._group:
+            self._references[self._group[server]].told(server, primary, at)
+
+    def committed(self, server: int, commit: tuple[str, Mark], sent_at: int) -> int:
+        """The token of a write."""
+        return self._of(self._group[server]).commit(*commit, sent_at)
+
+    def told(self, server: int, position: Position, sent_at: int) -> None:
+        """A server told its marks and role, asked at ``sent_at``: a primary's place the log's head."""
+        if position.primary is not None:
+            self.role(server, position.primary, sent_at)
+        if position.primary:
+            self._of(self._group[server]).observe(position.marks, sent_at)
+
+    def report(self, server: int, position: Position, sent_at: int) -> Report:
+        """The report that a probe's answer amounts to: a primary stands at the time it was asked."""
+        if position.primary:
+            return Report(sent_at, True)
+        return Report(self._of(self._group[server]).position(position.marks), position.primary)
+
+    def _of(self, group: int) -> Timeline:
+        if group not in self._timelines:
+            self._timelines[group], self._references[group] = Timeline(), References()
+        return self._timelines[group]
--- /dev/null
+++ b/yardbank/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiments and the scripted bad day, on loopback sockets."""
--- /dev/null
+++ b/yardbank/lab/demo.py
@@ -0,0 +1,83 @@
+"""What ``yardbank demo`` runs."""
+
+from __future__ import annotations
+
+import json
+import os
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+from yardbank.audit import judge
+from yardbank.audit.report import as_dict, show
+from yardbank.lab.day import ENTRIES, Day
+from yardbank.lab.world import BASE, DESK_DN, DESK_PASSWORD, NUMBERS, Recorder, World
+from yardbank.standin.cluster import Timing
+
+
+def _reactor() -> Any:
+    from twisted.internet import reactor
+
+    installed: Any = reactor
+    installed.seconds = time.monotonic
+    return installed
+
+
+def write_json(path: Path, value: Any) -> None:
+    """A file that is there whole or not at all."""
+    part = path.with_name(path.name + ".part")
+    part.write_text(json.dumps(value, indent=2) + "\n")
+    os.replace(part, path)
+
+
+def run_day(seed: int, seconds: float, daemon: bool, json_file: Path | None, record_file: Path | None) -> int:
+    """Play the day and judge it; exit code 0 if every rule was held."""
+    reactor = _reactor()
+    scale = seconds / 30
+    record = Recorder(record_file)
+    timing = Timing(detect=1.2 * scale, elect=1.2 * scale, hand_over=0.4 * scale)
+    world = World(reactor, record, seed=seed, daemon=daemon, timing=timing)
+    world.load(ENTRIES)
+    day = Day(world, scale)
+    failed: list[Any] = []
+    click.echo(f"A bad day of {seconds:g} s: 6 stand-ins in 2 groups, {len(day.sessions)} clients, "
+               f"the gateway {'as a process' if daemon else 'embedded'}.")  # fmt: skip
+    done = day.play(click.echo)
+    done.addErrback(failed.append)
+    done.addBoth(lambda _: reactor.callLater(0, reactor.stop))
+    reactor.run()
+    world.close()
+    if failed:
+        click.echo(f"yardbank: the day broke off: {failed[0].getErrorMessage()}\n{failed[0].getTraceback()}", err=True)
+        return 2
+    verdict = judge(record.facts)
+    show(verdict)
+    if json_file:
+        write_json(json_file, {**as_dict(verdict), "troubles": day.played, "seed": seed, "seconds": seconds})
+    return 0 if verdict.held else 1
+
+
+def run_stay(json_file: Path | None, seed: int) -> int:
+    """Keep the stack up until interrupted, for any LDAP client."""
+    reactor = _reactor()
+    world = World(reactor, Recorder(), seed=seed)
+    world.load(ENTRIES)
+    world.start_gateway()
+    reach = {
+        "ldap_url": f"ldap://127.0.0.1:{world.port}",
+        "base_dn": BASE,
+        "bind_dn": DESK_DN,
+        "bind_password": DESK_PASSWORD,
+        "writable_dn": f"cn=0,{NUMBERS}",
+    }
+    if json_file:
+        write_json(json_file, reach)
+    click.echo(f"Up until interrupted. Try: ldapsearch -x -H {reach['ldap_url']} -D {DESK_DN} -w {DESK_PASSWORD} "
+               f"-b {NUMBERS} '(cn=0)'")  # fmt: skip
+    reactor.run()
+    if world.proxy is not None:
+        world.proxy.kill()
+    world.close()
+    return 0
--- /dev/null
+++ b/yardbank/lab/world.py
@@ -0,0 +1,284 @@
+"""A small world on loopback: two groups of stand-ins, a gateway in process or as a process, one record of all."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.protocol import ProcessProtocol
+
+from yardbank.config import load_text
+from yardbank.ldap import messages as m
+from yardbank.proxy import Proxy, listening_socket
+from yardbank.standin.cluster import Cluster, Timing
+from yardbank.standin.server import Capacity, Standin
+
+BASE = "dc=porting"
+NUMBERS, REQUESTS = f"ou=numbers,{BASE}", f"ou=requests,{BASE}"
+GATEWAY_DN, GATEWAY_PASSWORD = f"cn=gateway,{BASE}", "gateway"
+DESK_DN, DESK_PASSWORD = f"cn=desk,{BASE}", "desk"
+GROUPS = {"numbers": NUMBERS, "requests": REQUESTS}
+MEMBERS = {
+    "numbers": (("n1", "norte"), ("n2", "norte"), ("n3", "sur")),
+    "requests": (("r1", "norte"), ("r2", "norte"), ("r3", "sur")),
+}
+
+_CLASSES = """
+class "route-lookup" {
+  effect    = "safe"
+  read      = "bounded"
+  staleness = "800ms"
+  aim       = "500ms"
+  deadline  = "1500ms"
+  worth     = 2
+  match {
+    operation = ["search", "compare"]
+    base      = "ou=numbers,dc=porting"
+  }
+}
+
+class "request-status" {
+  effect     = "safe"
+  read       = "session"
+  aim        = "750ms"
+  deadline   = "2s"
+  late_worth = 0.2
+  match {
+    operation = ["search", "compare"]
+    base      = "ou=requests,dc=porting"
+  }
+}
+
+class "port-commit" {
+  effect     = "unsafe"
+  read       = "write"
+  aim        = "500ms"
+  deadline   = "3s"
+  worth      = 3
+  late_worth = 0.7
+  match {
+    operation = ["add", "modify", "modifydn", "delete"]
+    base      = "dc=porting"
+  }
+}
+"""
+
+
+class Recorder:
+    """All facts, in memory and maybe in a file, stamped with the machine's steady time."""
+
+    def __init__(self, path: Path | None = None) -> None:
+        self.facts: list[dict[str, Any]] = []
+        self._file = path.open("w", encoding="utf-8") if path else None
+
+    def __call__(self, fact: dict[str, Any]) -> None:
+        """Take one fact."""
+        stamped = {"at": time.monotonic(), **fact}
+        self.facts.append(stamped)
+        if self._file:
+            self._file.write(json.dumps(stamped, separators=(",", ":")) + "\n")
+
+    def add_file(self, path: Path) -> None:
+        """Take the facts that another process wrote."""
+        if not path.exists():
+            return
+        for line in path.read_text(encoding="utf-8").splitlines():
+            try:
+                fact = json.loads(line)
+            except json.JSONDecodeError:  # cut short by a kill
+                continue
+            self.facts.append(fact)
+            if self._file:
+                self._file.write(line + "\n")
+
+    def close(self) -> None:
+        """No more facts."""
+        self.facts.sort(key=lambda fact: fact["at"])
+        if self._file:
+            self._file.close()
+            self._file = None
+
+
+class _Daemon(ProcessProtocol):
+    def __init__(self, log: Path) -> None:
+        self._log = log.open("ab")
+        self.ended: Deferred[None] = Deferred()
+
+    def errReceived(self, data: bytes) -> None:
+        self._log.write(data)
+        self._log.flush()
+
+    def processEnded(self, reason: Any) -> None:
+        self._log.close()
+        self.ended.callback(None)
+
+
+class World:
+    """Stand-ins, what the operator tells of them, and the gateway under test."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        record: Recorder,
+        *,
+        seed: int = 1,
+        daemon: bool = False,
+        timing: Timing | None = None,
+        capacity: Capacity | None = None,
+        router: Callable[..., Any] | None = None,
+        extra: str = "",
+    ) -> None:
+        self.reactor, self.record, self.seed, self.daemon = reactor, record, seed, daemon
+        self.capacity = capacity or Capacity()
+        self._router, self._extra = router, extra
+        self.clusters: dict[str, Cluster] = {}
+        self.servers: dict[str, Standin] = {}
+        self.states: dict[str, str] = {}
+        self.listed_primary: dict[str, str] = {}
+        bind = (GATEWAY_DN, GATEWAY_PASSWORD)
+        for group, members in MEMBERS.items():
+            names = [name for name, _ in members]
+            cluster = Cluster(GROUPS[group], names, reactor.seconds, reactor.callLater, timing, record)
+            self.clusters[group] = cluster
+            for name in names:
+                self.servers[name] = Standin(
+                    reactor, cluster, name, capacity=self.capacity, record=record, bind=bind, seed=seed
+                )
+                self.states[name] = "ready"
+            self.listed_primary[group] = names[0]
+        self.folder = Path(tempfile.mkdtemp(prefix="yardbank-"))
+        self.port = 0
+        self.proxy: Proxy | None = None
+        self._process: Any = None
+        self._daemon: _Daemon | None = None
+        self._runs = 0
+        load_text(self.settings().replace("port = 0", "port = 1"))  # the parser builds its tables at first use
+
+    def load(self, entries: int) -> None:
+        """The same entries in every member."""
+        for group, cluster in self.clusters.items():
+            suffix = GROUPS[group]
+            cluster.load(
+                [
+                    m.AddRequest(f"cn={number},{suffix}", (("objectClass", (b"device",)), ("description", (b"new",))))
+                    for number in range(entries)
+                ]
+            )
+
+    def settings(self) -> str:
+        """The settings file as the operator would write it now."""
+        parts = [
+            f'listener "ldap" {{\n  port = {self.port}\n  session = "connection"\n}}',
+            f'gateway {{\n  zone = "norte"\n  gateways = 1\n  seed = {self.seed}\n'
+            f'  cold = "{self.capacity.cold_s}s"\n  cold_share = {self.capacity.cold_share}\n}}',
+            f'backend "ldap" {{\n  bind_dn = "{GATEWAY_DN}"\n  bind_password = "{GATEWAY_PASSWORD}"\n'
+            '  role_attribute = "replicationRole"\n}',
+            f'identity "{DESK_DN}" {{\n  password = "{DESK_PASSWORD}"\n}}',
+            'logging {\n  level = "warning"\n  format = "json"\n}',
+            self._extra,
+            _CLASSES,
+        ]
+        for group, members in MEMBERS.items():
+            parts.append(f'group "{group}" {{\n  suffix = "{GROUPS[group]}"\n}}')
+            for name, zone in members:
+                if self.states[name] == "gone":
+                    continue
+                server = self.servers[name]
+                started = server.started
+                wall = time.time() - (time.monotonic() - started) if started else 0.0
+                parts.append(
+                    f'server "{name}" {{\n  group = "{group}"\n  zone = "{zone}"\n  address = "127.0.0.1"\n'
+                    f"  port = {server.port}\n  primary = {'true' if self.listed_primary[group] == name else 'false'}\n"
+                    f'  state = "{self.states[name]}"\n  started = {wall:.3f}\n}}'
+                )
+        return "\n\n".join(parts) + "\n"
+
+    def tell(self, **states: str) -> None:
+        """Tell the gateway what the list says now: states of servers that change with it."""
+        self.states.update(states)
+        for name, state in states.items():
+            self.record({"kind": "told", "server": name, "state": state})
+        if self.proxy is not None:
+            self.proxy.reload(load_text(self.settings()))
+        elif self._process is not None:
+            self._write_settings()
+            self._process.signalProcess("HUP")
+
+    def tell_primaries(self) -> None:
+        """The list follows an election."""
+        for group, cluster in self.clusters.items():
+            if cluster.primary:
+                self.listed_primary[group] = cluster.primary
+        self.tell()
+
+    def _write_settings(self) -> None:
+        path = self.folder / "gateway.hcl"
+        path.with_suffix(".new").write_text(self.settings())
+        os.replace(path.with_suffix(".new"), path)
+
+    def start_gateway(self) -> Deferred[Any]:
+        """Start it, embedded or as a process; fires when it listens."""
+        self._runs += 1
+        if not self.port:  # one port for good: the settings name it
+            made = listening_socket("127.0.0.1", 0, False)
+            self.port = made.getsockname()[1]
+            made.close()
+        if not self.daemon:
+            more: dict[str, Any] = {"router": self._router} if self._router else {}
+            self.proxy = Proxy(load_text(self.settings()), self.reactor, record=self.record, **more)
+            self.proxy.start()
+            return succeed(None)
+        self._write_settings()
+        self._daemon = _Daemon(self.folder / "gateway.log")
+        command = [sys.executable, "-m", "yardbank", "serve", str(self.folder / "gateway.hcl")]
+        command += ["--record", str(self.folder / f"gateway-{self._runs}.jsonl")]
+        self._process = self.reactor.spawnProcess(self._daemon, command[0], command, env=None)
+        return self._until_listening(time.monotonic() + 20)
+
+    def _until_listening(self, until: float) -> Deferred[Any]:
+        from yardbank.lab.client import connect
+
+        def again(failure: Any) -> Any:
+            if time.monotonic() > until:
+                return failure
+            waiting: Deferred[Any] = Deferred()
+            self.reactor.callLater(0.05, waiting.callback, None)
+            return waiting.addCallback(lambda _: self._until_listening(until))
+
+        return connect(self.reactor, "127.0.0.1", self.port, "").addCallbacks(lambda client: client.leave(), again)
+
+    def kill_gateway(self) -> Deferred[Any]:
+        """Kill it outright."""
+        self.record({"kind": "killed"})
+        if self.proxy is not None:
+            self.proxy.kill()
+            self.proxy = None
+            return succeed(None)
+        assert self._daemon is not None
+        os.kill(self._process.pid, signal.SIGKILL)
+        return self._daemon.ended
+
+    def stop_gateway(self) -> Deferred[Any]:
+        """Drain and stop it."""
+        if self.proxy is not None:
+            proxy, self.proxy = self.proxy, None
+            return proxy.stop()
+        assert self._daemon is not None
+        self._process.signalProcess("TERM")
+        return self._daemon.ended
+
+    def close(self) -> None:
+        """Stop the stand-ins; take the record of the gateway's processes in."""
+        for server in self.servers.values():
+            server.stop()
+        for run in range(1, self._runs + 1):
+            self.record.add_file(self.folder / f"gateway-{run}.jsonl")
+        self.record.close()
--- /dev/null
+++ b/yardbank/ldap/backend.py
@@ -0,0 +1,222 @@
+"""The gateway's side towards LDAP servers: connections that carry many operations at once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.python.failure import Failure
+
+from yardbank.gateway.api import Connection, Position, Receiver, ServerSpec
+from yardbank.ldap import codec, csn
+from yardbank.ldap import messages as m
+from yardbank.ldap.ber import BerError
+from yardbank.ldap.exchange import Exchange, interpret
+from yardbank.ldap.state import Answered, ClientEnd
+
+POSITION = "contextCSN"
+
+
+@dataclass(slots=True, frozen=True)
+class BackendOptions:
+    """How servers are spoken to."""
+
+    bind_dn: str = ""
+    bind_password: str = ""
+    suffixes: Mapping[str, str] = field(default_factory=dict)  # by group: where the probe looks
+    role_attribute: str = ""  # empty: servers do not tell their role in a probe
+    primary_value: str = "primary"
+    max_message: int = 16 << 20
+
+
+class _Probe:
+    """Collects the one entry that a probe brings."""
+
+    def __init__(self, options: BackendOptions, done: Callable[[Position | None], None]) -> None:
+        self._options, self._done = options, done
+        self._entry: m.SearchEntry | None = None
+
+    def attempt_part(self, payload: Any, size: int) -> None:
+        operation = codec.decode_operation(payload.operation)
+        if isinstance(operation, m.SearchEntry):
+            self._entry = operation
+
+    def finished(self, raw: codec.Envelope) -> None:
+        self._done(self._read())
+
+    def attempt_lost(self, reason: str) -> None:
+        self._done(None)
+
+    def _read(self) -> Position | None:
+        if self._entry is None:
+            return None
+        held = {name.lower(): values for name, values in self._entry.attributes}
+        told = held.get(self._options.role_attribute.lower(), ())
+        primary = told[0].decode("utf-8", "replace") == self._options.primary_value if told else None
+        return Position(csn.vector(held.get(POSITION.lower(), ())), primary)
+
+
+class LdapConnection(Protocol):
+    """One connection to a server; bound first if the options say so."""
+
+    transport: Any  # Twisted's stubs name no methods of a TCP transport
+
+    def __init__(
+        self,
+        server: ServerSpec,
+        options: BackendOptions,
+        ready: Callable[[Connection], None],
+        lost: Callable[[str], None],
+    ) -> None:
+        self._server, self._options, self._ready, self._lost = server, options, ready, lost
+        self._end = ClientEnd(options.max_message)
+        self._exchanges: dict[int, tuple[Exchange, Receiver]] = {}
+        self._probes: dict[int, _Probe] = {}
+        self._binding: int | None = None
+        self._reason = ""
+
+    def connectionMade(self) -> None:
+        """Bind, or be ready at once."""
+        assert self.transport is not None
+        if hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+        if not self._options.bind_dn:
+            self._ready(self)
+            return
+        request = m.BindRequest(self._options.bind_dn, self._options.bind_password.encode())
+        self._binding, data = self._end.ask(codec.encode_operation(request), m.Tag.BIND)
+        self.transport.write(data)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Answers, in any split."""
+        try:
+            for event in self._end.receive(data):
+                if isinstance(event, Answered):
+                    self._answered(event)
+                else:
+                    self._reason = event.reason or "the server is closing"
+        except BerError as problem:
+            self._reason = f"the server broke the protocol: {problem}"
+            if self.transport is not None:
+                self.transport.abortConnection()
+
+    def _answered(self, event: Answered) -> None:
+        if event.id == self._binding:
+            self._binding = None
+            result = codec.decode_operation(event.raw.operation)
+            if isinstance(result, m.Result) and result.code == m.Code.SUCCESS:
+                self._ready(self)
+            else:
+                self._reason = f"bind was refused: {getattr(result, 'diagnostic', '')}"
+                self.close()
+        elif (probe := self._probes.get(event.id)) is not None:
+            if event.final:
+                del self._probes[event.id]
+                probe.finished(event.raw)
+            else:
+                probe.attempt_part(event.raw, 0)
+        elif (pair := self._exchanges.get(event.id)) is not None:
+            exchange, receiver = pair
+            if event.final:
+                reply = interpret(exchange, event.raw)
+                del self._exchanges[event.id]
+                receiver.attempt_done(reply)
+            else:
+                receiver.attempt_part(event.raw, len(event.raw.operation) + len(event.raw.controls))
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+        """All that is out is lost with it."""
+        why = self._reason or reason.getErrorMessage()
+        exchanges, self._exchanges = self._exchanges, {}
+        probes, self._probes = self._probes, {}
+        for _, receiver in exchanges.values():
+            receiver.attempt_lost(why)
+        for probe in probes.values():
+            probe.attempt_lost(why)
+        self._lost(why)
+
+    # gateway.api.Connection
+
+    def submit(self, operation: Exchange, receiver: Receiver) -> int:
+        """Send one operation."""
+        assert self.transport is not None
+        number, data = self._end.ask(operation.operation, operation.tag, operation.controls)
+        self._exchanges[number] = operation, receiver
+        self.transport.write(data)
+        return number
+
+    def abandon(self, number: int) -> None:
+        """Stop waiting; a search is abandoned at the server, a write is left to run its course."""
+        pair = self._exchanges.pop(number, None)
+        data = self._end.abandon(number)
+        if pair and not pair[0].write and data and self.transport is not None:
+            self.transport.write(data)
+
+    def probe(self, done: Callable[[Position | None], None]) -> int:
+        """Read position and role from the group's suffix entry."""
+        assert self.transport is not None
+        suffix = self._options.suffixes.get(self._server.group, "")
+        wanted = (POSITION, self._options.role_attribute) if self._options.role_attribute else (POSITION,)
+        request = m.SearchRequest(suffix, m.Scope.BASE, m.Present("objectClass"), wanted)
+        number, data = self._end.ask(codec.encode_operation(request), m.Tag.SEARCH)
+        self._probes[number] = _Probe(self._options, done)
+        self.transport.write(data)
+        return number
+
+    def close(self) -> None:
+        """Unbind and close."""
+        if self.transport is not None:
+            self.transport.write(codec.encode(m.Message(0x7FFFFFFF, m.UnbindRequest())))
+            self.transport.loseConnection()
+
+
+class _Connector(ClientFactory):
+    noisy = False
+
+    def __init__(self, make: Callable[[], LdapConnection], lost: Callable[[str], None]) -> None:
+        self._make, self._lost = make, lost
+
+    def buildProtocol(self, addr: Any) -> LdapConnection:
+        return self._make()
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self._lost(reason.getErrorMessage())
+
+
+class LdapBackend:
+    """Reaches LDAP servers; a ``gateway.api.Backend``."""
+
+    def __init__(self, options: BackendOptions, reactor: Any) -> None:
+        self._options, self._reactor = options, reactor
+
+    def connect(
+        self, server: ServerSpec, ready: Callable[[Connection], None], lost: Callable[[str], None]
+    ) -> Callable[[], None]:
+        """Open a connection; see ``gateway.api.Backend``."""
+        over = False
+
+        def lost_once(reason: str) -> None:
+            nonlocal over
+            if not over:
+                over = True
+                lost(reason)
+
+        factory = _Connector(lambda: LdapConnection(server, self._options, ready, lost_once), lost_once)
+        connector = self._reactor.connectTCP(server.host, server.port, factory, timeout=30)
+
+        def give_up() -> None:
+            if connector.state == "connected":
+                connector.transport.abortConnection()
+            else:
+                connector.disconnect()
+
+        return give_up
+
+    def describe(self, operation: Exchange) -> str:
+        """The kind of operation and what it is about."""
+        request = operation.request
+        entry = getattr(request, "base", None) or getattr(request, "entry", "")
+        return f"{type(request).__name__.removesuffix('Request').lower()} {entry}".strip()
--- /dev/null
+++ b/yardbank/ldap/front.py
@@ -0,0 +1,339 @@
+"""The gateway's side towards LDAP clients."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from itertools import count
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from yardbank.gateway.api import SECOND, Call
+from yardbank.gateway.gateway import Gateway
+from yardbank.ldap import codec, filters
+from yardbank.ldap import messages as m
+from yardbank.ldap.ber import SEQUENCE, BerError, expect, header, text
+from yardbank.ldap.classify import Classifier, entry_of
+from yardbank.ldap.exchange import Exchange, prepare
+from yardbank.ldap.state import Abandoned, Asked, Broken, Closed, ServerEnd, notice_of_disconnection
+
+PRE_READ = "1.3.6.1.1.13.1"
+PASSED_ON = frozenset((m.Oid.POST_READ, PRE_READ, m.Oid.ASSERTION, m.Oid.MANAGE_DSA_IT, m.Oid.PAGED_RESULTS))
+EXTENSIONS = (m.Oid.CANCEL, m.Oid.WHO_AM_I, m.Oid.PASSWORD_MODIFY)
+
+
+@dataclass(slots=True, frozen=True)
+class FrontOptions:
+    """How clients are met."""
+
+    identities: Mapping[str, str] = field(default_factory=dict)  # folded bind name: password
+    anonymous: bool = False  # operations without a bind
+    session_by: str = "connection"  # or identity
+    naming_contexts: tuple[str, ...] = ()
+    max_message: int = 4 << 20
+    max_outstanding: int = 1000
+    max_unread: int = 4 << 20  # octets kept for a client that does not read
+    max_connections: int = 50_000
+
+
+class _Answer:
+    """Takes one request's answer back to its connection; a ``gateway.api.Sink``."""
+
+    __slots__ = ("_client", "_exchange", "_number", "_time_limit", "_until")
+
+    def __init__(self, client: LdapFront, number: int, exchange: Exchange, until: int) -> None:
+        self._client, self._number, self._exchange, self._until = client, number, exchange, until
+
+    def part(self, payload: codec.Envelope) -> None:
+        self._client.pass_part(self._number, payload)
+
+    def served(self, payload: codec.Envelope) -> None:
+        self._client.finish(self._number, payload)
+
+    def refused(self, retry_after: int, reason: str) -> None:
+        text = f"{reason}; nothing ran, try again"
+        self._end(m.Code.BUSY, f"{text} after {retry_after // 1_000_000} ms" if retry_after else text)
+
+    def failed(self, reason: str) -> None:
+        code = m.Code.OTHER if self._exchange.write else m.Code.UNAVAILABLE
+        self._end(code, f"{reason}; it may have run" if self._exchange.write else reason)
+
+    def _end(self, code: int, reason: str) -> None:
+        if self._until and self._client.gateway.now() >= self._until:
+            code, reason = m.Code.TIME_LIMIT, "the search's time limit has passed"
+        tag = m.RESPONSE_TAG[type(self._exchange.request)]
+        self._client.finish(self._number, m.Result(tag, code, diagnostic=reason))
+
+
+@implementer(IPushProducer)
+class LdapFront(Protocol):
+    """One client's connection."""
+
+    transport: Any  # Twisted's stubs name no methods of a TCP transport
+
+    def __init__(self, factory: LdapFrontFactory, number: int) -> None:
+        self.gateway = factory.gateway
+        self._factory, self._options, self._classifier = factory, factory.options, factory.classifier
+        self._number = number
+        self._end = ServerEnd(factory.options.max_message, factory.options.max_outstanding)
+        self._identity = ""
+        self._requests: dict[int, str] = {}  # the gateway's number by message ID
+        self._tags: dict[int, int] = {}  # the tag of the answer that each is owed
+        self._unread: int | None = None  # octets written since the client stopped reading; None: it reads
+        self._closing = False
+
+    # The transport's side
+
+    def connectionMade(self) -> None:
+        """Count it, and ask to be told when the client does not read."""
+        assert self.transport is not None
+        if hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._factory.clients[self] = None
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+        """The client left: nothing more is owed."""
+        self._factory.clients.pop(self, None)
+        self._drop()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Requests, in any split."""
+        for event in self._end.receive(data):
+            match event:
+                case Asked():
+                    try:
+                        self._asked(event.message, event.raw)
+                    except BerError as problem:
+                        self._answer(event.message, m.Code.PROTOCOL_ERROR, str(problem))
+                    except Exception as problem:
+                        self._factory.log.error("front_error", error=repr(problem), exc_info=True)
+                        self._answer(event.message, m.Code.OTHER, "internal error")
+                case Abandoned(target):
+                    if number := self._requests.pop(target, None):
+                        self._tags.pop(target, None)
+                        self.gateway.leave(number)
+                case Closed():
+                    self._drop()
+                    self._lose()
+                case Broken(reason, notice):
+                    self._factory.log.warning("client_broke_protocol", client=self._number, reason=reason)
+                    self._drop()
+                    self._write(notice)
+                    self._lose()
+
+    def pauseProducing(self) -> None:
+        """The client does not read: take nothing more from it."""
+        self._unread = 0
+        if self.transport is not None:
+            self.transport.pauseProducing()
+
+    def resumeProducing(self) -> None:
+        """It reads again."""
+        self._unread = None
+        if self.transport is not None and not self._closing:
+            self.transport.resumeProducing()
+
+    def stopProducing(self) -> None:
+        """The connection is over."""
+        self._drop()
+
+    def _write(self, data: bytes) -> None:
+        if not data or self.transport is None:
+            return
+        if self._unread is not None:
+            self._unread += len(data)
+            if self._unread > self._options.max_unread:
+                self._factory.log.warning("slow_client_dropped", client=self._number, unread=self._unread)
+                self._drop()
+                self.transport.abortConnection()
+                return
+        self.transport.write(data)
+
+    def _lose(self) -> None:
+        self._closing = True
+        if self.transport is not None:
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
+    def _drop(self) -> None:
+        self._end.close()
+        requests, self._requests = self._requests, {}
+        for number in requests.values():
+            self.gateway.leave(number)
+
+    def close_when_done(self) -> None:
+        """The gateway has stopped: say so and close."""
+        self._end.close()
+        self._write(notice_of_disconnection(m.Code.UNAVAILABLE, "the gateway is stopping"))
+        self._lose()
+
+    # Answers
+
+    def pass_part(self, number: int, payload: codec.Envelope) -> None:
+        """An entry, a reference or an intermediate response."""
+        self._write(self._end.part(number, payload))
+
+    def finish(self, number: int, result: m.Result | codec.Envelope) -> None:
+        """The final answer to a routed request."""
+        self._requests.pop(number, None)
+        self._tags.pop(number, None)
+        self._write(self._end.final(number, result))
+
+    def _answer(self, message: m.Message, code: int, reason: str = "", **more: Any) -> None:
+        tag = m.RESPONSE_TAG[type(message.operation)]
+        self._requests.pop(message.id, None)
+        self._write(self._end.final(message.id, m.Result(tag, code, diagnostic=reason, **more)))
+
+    # Requests
+
+    def _asked(self, message: m.Message, raw: codec.Envelope) -> None:
+        operation = message.operation
+        if isinstance(operation, m.BindRequest):
+            return self._bind(message, operation)
+        for control in message.controls:
+            if control.oid == m.Oid.PROXIED_AUTHORIZATION:  # would borrow the gateway's own rights
+                return self._answer(message, m.Code.INSUFFICIENT_ACCESS, "proxied authorization is not allowed")
+            if control.critical and control.oid not in PASSED_ON:
+                reason = f"control {control.oid} is not supported"
+                return self._answer(message, m.Code.UNAVAILABLE_CRITICAL_EXTENSION, reason)
+        entry = None
+        if isinstance(operation, m.ExtendedRequest):
+            if operation.oid != m.Oid.PASSWORD_MODIFY:
+                return self._extended(message, operation)
+            entry = filters.fold(_password_entry(operation.value) or self._identity)
+        if isinstance(operation, m.SearchRequest) and not operation.base and operation.scope == m.Scope.BASE:
+            return self._root(message, operation)
+        if not self._identity and not self._options.anonymous:
+            return self._answer(message, m.Code.INSUFFICIENT_ACCESS, "bind first")
+        assert not isinstance(operation, m.Response)
+        placed = self._classifier.place(operation, self._identity, entry)
+        if placed.group is None:
+            name = entry_of(operation) if entry is None else entry
+            return self._answer(message, m.Code.NO_SUCH_OBJECT, f"no group holds {name!r}")
+        exchange = prepare(message, raw)
+        limit = operation.time_limit * SECOND if isinstance(operation, m.SearchRequest) else 0
+        until = self.gateway.now() + limit if limit else 0
+        sink = _Answer(self, message.id, exchange, until)
+        by_identity = self._options.session_by == "identity" and self._identity
+        call = Call(
+            class_name=placed.class_name,
+            group=placed.group,
+            operation=exchange,
+            sink=sink,
+            session=self._identity if by_identity else f"#{self._number}",
+            time_limit=limit,
+        )
+        self._requests[message.id] = ""
+        self._tags[message.id] = m.RESPONSE_TAG[type(operation)]
+        number = self.gateway.take(call)
+        if message.id in self._requests:  # not answered already
+            self._requests[message.id] = number
+        return None
+
+    def _bind(self, message: m.Message, request: m.BindRequest) -> None:
+        if self._end.outstanding - {message.id}:  # section 4.2.1: a bind ends all that went before it
+            for other in list(self._requests):
+                self.gateway.leave(self._requests.pop(other))
+                self._end.final(other, m.Result(self._tags.pop(other), m.Code.OTHER))
+        self._identity = ""
+        if request.version != 3:
+            return self._answer(message, m.Code.PROTOCOL_ERROR, "only version 3 is spoken")
+        if request.mechanism is not None:
+            return self._answer(message, m.Code.AUTH_METHOD_NOT_SUPPORTED, "simple bind only")
+        if not request.name:
+            if self._options.anonymous and not request.password:
+                return self._answer(message, m.Code.SUCCESS)
+            return self._answer(message, m.Code.INVALID_CREDENTIALS, "anonymous bind is not allowed")
+        if not request.password:  # RFC 4513 section 5.1.2
+            return self._answer(message, m.Code.UNWILLING, "a name without a password proves nothing")
+        name = filters.fold(request.name)
+        known = self._options.identities.get(name)
+        if known is None or not hmac.compare_digest(known.encode(), request.password):
+            return self._answer(message, m.Code.INVALID_CREDENTIALS)
+        self._identity = name
+        return self._answer(message, m.Code.SUCCESS)
+
+    def _extended(self, message: m.Message, request: m.ExtendedRequest) -> None:
+        if request.oid == m.Oid.START_TLS:  # RFC 4511 section 4.14.2
+            reason = "TLS is not set up here"
+            return self._answer(message, m.Code.PROTOCOL_ERROR, reason, oid=m.Oid.START_TLS)
+        if request.oid == m.Oid.WHO_AM_I:
+            name = f"dn:{self._identity}" if self._identity else ""
+            return self._answer(message, m.Code.SUCCESS, value=name.encode())
+        if request.oid == m.Oid.CANCEL:
+            return self._cancel(message, codec.cancel_target(request.value))
+        return self._answer(message, m.Code.PROTOCOL_ERROR, f"extended operation {request.oid} is not supported")
+
+    def _cancel(self, message: m.Message, target: int) -> None:
+        """RFC 3909: unlike Abandon, both operations are answered."""
+        number = self._requests.pop(target, None)
+        if number is None:
+            return self._answer(message, m.Code.NO_SUCH_OPERATION)
+        self.gateway.leave(number)
+        self._write(self._end.final(target, m.Result(self._tags.pop(target), m.Code.CANCELED)))
+        return self._answer(message, m.Code.SUCCESS)
+
+    def _root(self, message: m.Message, request: m.SearchRequest) -> None:
+        """The gateway's own root DSE (RFC 4512 section 5.1)."""
+        held = {
+            "objectClass": (b"top",),
+            "supportedLDAPVersion": (b"3",),
+            "namingContexts": tuple(name.encode() for name in self._options.naming_contexts),
+            "supportedControl": tuple(oid.encode() for oid in sorted(PASSED_ON)),
+            "supportedExtension": tuple(oid.encode() for oid in EXTENSIONS),
+            "vendorName": (b"yardbank",),
+        }
+        named = {name.lower() for name in request.attributes}
+        everything = not named or "*" in named or "+" in named
+        shown = tuple((k, v) for k, v in held.items() if v and (everything or k.lower() in named))
+        entry = codec.encode_operation(m.SearchEntry("", shown))
+        self._write(self._end.part(message.id, codec.Envelope(message.id, m.Tag.ENTRY, entry, b"")))
+        self._answer(message, m.Code.SUCCESS)
+
+
+def _password_entry(value: bytes | None) -> str:
+    """Whose password is changed (RFC 3062 section 2); empty: the user's own."""
+    if not value:
+        return ""
+    low, high = expect(value, 0, len(value), SEQUENCE, "passwdModify")
+    if low < high:
+        tag, first, last = header(value, low, high)
+        if tag == 0x80:
+            return text(value, first, last, "userIdentity")
+    return ""
+
+
+class LdapFrontFactory(Factory):
+    """Makes a front for each client connection of one gateway."""
+
+    noisy = False
+
+    def __init__(self, gateway: Gateway, classifier: Classifier, options: FrontOptions) -> None:
+        self.gateway, self.classifier, self.options = gateway, classifier, options
+        self.log = gateway.log
+        self.clients: dict[LdapFront, None] = {}
+        self._numbers = count(1)
+
+    def buildProtocol(self, addr: Any) -> LdapFront | None:
+        """A front for a new client, unless the bound is reached."""
+        if len(self.clients) >= self.options.max_connections:
+            self.log.warning("client_connections_bound", bound=self.options.max_connections)
+            return None
+        return LdapFront(self, next(self._numbers))
+
+    def close_all(self) -> None:
+        """Close every client connection in good order."""
+        for client in list(self.clients):
+            client.close_when_done()
+
+    def abort_all(self) -> None:
+        """Cut every client connection without a word."""
+        for client in list(self.clients):
+            client.transport.abortConnection()
--- /dev/null
+++ b/yardbank/ldap/messages.py
@@ -0,0 +1,330 @@
+"""The messages of LDAP as plain values (RFC 4511 section 4)."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import IntEnum
+
+
+class Code(IntEnum):
+    """Result codes that the program itself names (RFC 4511 appendix A, RFC 3909, RFC 4528)."""
+
+    SUCCESS = 0
+    OPERATIONS_ERROR = 1
+    PROTOCOL_ERROR = 2
+    TIME_LIMIT = 3
+    SIZE_LIMIT = 4
+    COMPARE_FALSE = 5
+    COMPARE_TRUE = 6
+    AUTH_METHOD_NOT_SUPPORTED = 7
+    REFERRAL = 10
+    ADMIN_LIMIT = 11
+    UNAVAILABLE_CRITICAL_EXTENSION = 12
+    NO_SUCH_ATTRIBUTE = 16
+    ATTRIBUTE_OR_VALUE_EXISTS = 20
+    NO_SUCH_OBJECT = 32
+    INVALID_DN = 34
+    INVALID_CREDENTIALS = 49
+    INSUFFICIENT_ACCESS = 50
+    BUSY = 51
+    UNAVAILABLE = 52
+    UNWILLING = 53
+    NOT_ALLOWED_ON_NON_LEAF = 66
+    ENTRY_EXISTS = 68
+    OTHER = 80
+    CANCELED = 118
+    NO_SUCH_OPERATION = 119
+    TOO_LATE = 120
+    CANNOT_CANCEL = 121
+    ASSERTION_FAILED = 122
+
+
+class Oid:
+    """Object identifiers of controls and extended operations."""
+
+    START_TLS = "1.3.6.1.4.1.1466.20037"
+    NOTICE_OF_DISCONNECTION = "1.3.6.1.4.1.1466.20036"
+    CANCEL = "1.3.6.1.1.8"  # RFC 3909
+    WHO_AM_I = "1.3.6.1.4.1.4203.1.11.3"  # RFC 4532
+    PASSWORD_MODIFY = "1.3.6.1.4.1.4203.1.11.1"  # RFC 3062
+    POST_READ = "1.3.6.1.1.13.2"  # RFC 4527
+    ASSERTION = "1.3.6.1.1.12"  # RFC 4528
+    PROXIED_AUTHORIZATION = "2.16.840.1.113730.3.4.18"  # RFC 4370
+    MANAGE_DSA_IT = "2.16.840.1.113730.3.4.2"  # RFC 3296
+    PAGED_RESULTS = "1.2.840.113556.1.4.319"  # RFC 2696
+
+
+class Scope(IntEnum):
+    """What part of the tree a search covers."""
+
+    BASE = 0
+    ONE = 1
+    SUBTREE = 2
+
+
+@dataclass(slots=True, frozen=True)
+class Control:
+    """An extension of one message (section 4.1.11)."""
+
+    oid: str
+    critical: bool = False
+    value: bytes | None = None
+
+
+# Filters (section 4.5.1.7)
+
+
+@dataclass(slots=True, frozen=True)
+class And:
+    """True when all parts are; empty is True (RFC 4526)."""
+
+    parts: tuple[Filter, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Or:
+    """True when any part is; empty is False (RFC 4526)."""
+
+    parts: tuple[Filter, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Not:
+    """True when its part is false."""
+
+    part: Filter
+
+
+@dataclass(slots=True, frozen=True)
+class Match:
+    """An attribute compared with a value: ``=``, ``>=``, ``<=`` or ``~=``."""
+
+    rule: str
+    attribute: str
+    value: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Present:
+    """The attribute is there."""
+
+    attribute: str
+
+
+@dataclass(slots=True, frozen=True)
+class Substrings:
+    """Parts of a value in their order."""
+
+    attribute: str
+    initial: bytes | None = None
+    any: tuple[bytes, ...] = ()
+    final: bytes | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class Extensible:
+    """A matching rule named in the filter."""
+
+    rule: str | None
+    attribute: str | None
+    value: bytes
+    dn_attributes: bool = False
+
+
+Filter = And | Or | Not | Match | Present | Substrings | Extensible
+
+
+# Requests
+
+
+@dataclass(slots=True, frozen=True)
+class BindRequest:
+    """Simple bind has a password and no mechanism; SASL has a mechanism and maybe credentials."""
+
+    name: str = ""
+    password: bytes | None = b""
+    mechanism: str | None = None
+    credentials: bytes | None = None
+    version: int = 3
+
+
+@dataclass(slots=True, frozen=True)
+class UnbindRequest:
+    """The client closes."""
+
+
+@dataclass(slots=True, frozen=True)
+class SearchRequest:
+    """A search (section 4.5.1)."""
+
+    base: str
+    scope: int
+    filter: Filter
+    attributes: tuple[str, ...] = ()
+    size_limit: int = 0
+    time_limit: int = 0  # seconds
+    types_only: bool = False
+    deref: int = 0
+
+
+Attributes = tuple[tuple[str, tuple[bytes, ...]], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class ModifyRequest:
+    """Changes as (operation, type, values): 0 add, 1 delete, 2 replace, 3 increment (RFC 4525)."""
+
+    entry: str
+    changes: tuple[tuple[int, str, tuple[bytes, ...]], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class AddRequest:
+    """A new entry."""
+
+    entry: str
+    attributes: Attributes
+
+
+@dataclass(slots=True, frozen=True)
+class DeleteRequest:
+    """Remove a leaf."""
+
+    entry: str
+
+
+@dataclass(slots=True, frozen=True)
+class ModifyDNRequest:
+    """Rename or move."""
+
+    entry: str
+    new_rdn: str
+    delete_old: bool = True
+    new_superior: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class CompareRequest:
+    """Test one value."""
+
+    entry: str
+    attribute: str
+    value: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class AbandonRequest:
+    """Give up an operation; nothing answers this."""
+
+    target: int
+
+
+@dataclass(slots=True, frozen=True)
+class ExtendedRequest:
+    """An operation named by an object identifier."""
+
+    oid: str
+    value: bytes | None = None
+
+
+# Responses
+
+
+@dataclass(slots=True, frozen=True)
+class Result:
+    """How an operation ended (section 4.1.9); ``tag`` says which response carries it."""
+
+    tag: int
+    code: int
+    matched: str = ""
+    diagnostic: str = ""
+    referrals: tuple[str, ...] = ()
+    oid: str | None = None  # extended responses
+    value: bytes | None = None  # extended response value, or a bind's server credentials
+
+
+@dataclass(slots=True, frozen=True)
+class SearchEntry:
+    """One entry found."""
+
+    name: str
+    attributes: Attributes
+
+
+@dataclass(slots=True, frozen=True)
+class SearchReference:
+    """Where a search must be continued."""
+
+    uris: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class IntermediateResponse:
+    """A partial answer (section 4.13)."""
+
+    oid: str | None = None
+    value: bytes | None = None
+
+
+Request = (
+    BindRequest
+    | UnbindRequest
+    | SearchRequest
+    | ModifyRequest
+    | AddRequest
+    | DeleteRequest
+    | ModifyDNRequest
+    | CompareRequest
+    | AbandonRequest
+    | ExtendedRequest
+)
+Response = Result | SearchEntry | SearchReference | IntermediateResponse
+Operation = Request | Response
+
+
+@dataclass(slots=True, frozen=True)
+class Message:
+    """An LDAPMessage; ID 0 is the server's own unsolicited one."""
+
+    id: int
+    operation: Operation
+    controls: tuple[Control, ...] = ()
+
+
+class Tag(IntEnum):
+    """The tags of the operations."""
+
+    BIND = 0x60
+    BIND_RESPONSE = 0x61
+    UNBIND = 0x42
+    SEARCH = 0x63
+    ENTRY = 0x64
+    DONE = 0x65
+    MODIFY = 0x66
+    MODIFY_RESPONSE = 0x67
+    ADD = 0x68
+    ADD_RESPONSE = 0x69
+    DELETE = 0x4A
+    DELETE_RESPONSE = 0x6B
+    MODIFY_DN = 0x6C
+    MODIFY_DN_RESPONSE = 0x6D
+    COMPARE = 0x6E
+    COMPARE_RESPONSE = 0x6F
+    ABANDON = 0x50
+    REFERENCE = 0x73
+    EXTENDED = 0x77
+    EXTENDED_RESPONSE = 0x78
+    INTERMEDIATE = 0x79
+
+
+RESPONSE_TAG = {
+    BindRequest: Tag.BIND_RESPONSE,
+    SearchRequest: Tag.DONE,
+    ModifyRequest: Tag.MODIFY_RESPONSE,
+    AddRequest: Tag.ADD_RESPONSE,
+    DeleteRequest: Tag.DELETE_RESPONSE,
+    ModifyDNRequest: Tag.MODIFY_DN_RESPONSE,
+    CompareRequest: Tag.COMPARE_RESPONSE,
+    ExtendedRequest: Tag.EXTENDED_RESPONSE,
+}
+RESULT_TAGS = frozenset(RESPONSE_TAG.values())
--- /dev/null
+++ b/yardbank/proxy.py
@@ -0,0 +1,143 @@
+"""The library's front door: one gateway with its listeners, made from settings, embedded in any Twisted process.
+
+    proxy = Proxy(load(Path("gateway.hcl")), reactor)
+    proxy.start()
+    ...
+    proxy.stop()
+
+The daemon is this and a few signals; it adds nothing.
+"""
+
+from __future__ import annotations
+
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+import structlog
+from twisted.internet.defer import Deferred, maybeDeferred
+
+from yardbank.config import Config, build
+from yardbank.gateway.gateway import Gateway, Record
+from yardbank.interface import Settings
+from yardbank.ldap.backend import LdapBackend
+from yardbank.ldap.front import LdapFrontFactory
+from yardbank.policy import Router
+
+
+def listening_socket(address: str, port: int, shared: bool) -> socket.socket:
+    """A listening socket; ``shared`` lets several processes take connections of one port (SO_REUSEPORT)."""
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    made = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        if shared:
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        made.bind((address, port))
+        made.listen(1024)
+        made.setblocking(False)
+    except OSError:
+        made.close()
+        raise
+    return made
+
+
+class Proxy:
+    """A gateway and its listeners. Several in one process share nothing."""
+
+    def __init__(
+        self,
+        config: Config,
+        reactor: Any,
+        *,
+        workers: int = 1,
+        log: Any = None,
+        record: Record | None = None,
+        seconds: Callable[[], float] = time.monotonic,
+        router: Callable[[Settings], Router] = Router,
+    ) -> None:
+        self.config, self._reactor, self._workers = config, reactor, workers
+        self.log = log or structlog.get_logger()
+        self._ports: list[Any] = []
+        self._factories: list[LdapFrontFactory] = []
+        self.addresses: list[tuple[str, int]] = []
+        backend = LdapBackend(build.backend_options(config), reactor)
+        self.gateway = Gateway(
+            build.settings(config, workers),
+            backend,
+            reactor=reactor,
+            limits=build.limits(config),
+            seconds=seconds,
+            log=self.log,
+            record=record,
+            log_answers=config.logging.answers,
+            router=router,
+        )
+        self.gateway.apply_list(build.servers(config))
+
+    def start(self) -> None:
+        """Listen. Raises ``OSError`` if an address cannot be had; then nothing listens."""
+        sockets: list[socket.socket] = []
+        try:
+            for listener in self.config.listener:
+                sockets.append(listening_socket(listener.address, listener.port, self._workers > 1))
+        except OSError:
+            for made in sockets:
+                made.close()
+            raise
+        for listener, made in zip(self.config.listener, sockets, strict=True):
+            options = build.front_options(self.config, listener)
+            factory = LdapFrontFactory(self.gateway, build.classifier(self.config), options)
+            self._factories.append(factory)
+            self._ports.append(self._reactor.adoptStreamPort(made.fileno(), made.family, factory))
+            address = made.getsockname()[:2]
+            made.close()  # the reactor holds its own copy
+            self.addresses.append(address)
+            self.log.info("listening", protocol=listener.protocol, address=address[0], port=address[1])
+
+    def reload(self, config: Config) -> None:
+        """Take other settings: servers, classes' matches, identities. What cannot change in service says so.
+
+        Raises ``ValueError`` naming the block, and changes nothing then.
+        """
+        old = self.config
+        fixed = {
+            "listener": (old.listener, config.listener),
+            "backend": (old.backend, config.backend),
+            "gateway": (old.gateway, config.gateway),
+            "limits": (old.limits, config.limits),
+            "group": (old.group, config.group),
+            "class times": (build.request_classes(old), build.request_classes(config)),
+        }
+        for name, (before, after) in fixed.items():
+            if before != after:
+                raise ValueError(f"{name}: cannot change in service; restart to apply it")
+        self.gateway.apply_list(build.servers(config))
+        for listener, factory in zip(config.listener, self._factories, strict=True):
+            factory.classifier = build.classifier(config)
+            factory.options = build.front_options(config, listener)
+        self.config = config
+
+    def kill(self) -> None:
+        """End as a killed process does: every socket is cut, nothing is answered."""
+        for port in self._ports:
+            maybeDeferred(port.stopListening)
+        self._ports = []
+        self.gateway.kill()
+        for factory in self._factories:
+            factory.abort_all()
+
+    def stop(self, grace: int | None = None) -> Deferred[None]:
+        """Stop listening, answer what was taken (at the latest after ``grace`` ns), close."""
+        ports, self._ports = self._ports, []
+        for port in ports:
+            maybeDeferred(port.stopListening)
+        done = self.gateway.stop(grace)
+
+        def close(_: None) -> None:
+            for factory in self._factories:
+                factory.close_all()
+
+        done.addCallback(close)
+        return done
--- /dev/null
+++ b/yardbank/standin/cluster.py
@@ -0,0 +1,221 @@
+"""The ordered log of one group and how its members follow it. No I/O: time and timers are passed in.
+
+A primary commits at once. A copy gets each commit after a shipping delay and applies it on one thread; one
+that falls behind answers as fast as ever. A primary that is lost or hangs is given up after ``detect``; the
+copy that holds most of the log takes over ``elect`` later, and what it never got is lost with the old one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from yardbank.ldap import csn
+from yardbank.ldap import messages as m
+from yardbank.standin.directory import OK, Directory, Outcome
+
+Record = Callable[[dict[str, Any]], None]
+
+
+@dataclass(slots=True, frozen=True)
+class Commit:
+    """One write in the log."""
+
+    csn: str
+    at: float  # seconds, on the clock of the world
+    request: m.Request
+    tag: str  # by which records know the request
+
+
+@dataclass(slots=True)
+class Timing:
+    """How fast the log moves, in seconds."""
+
+    ship: float = 0.005
+    apply: float = 0.002
+    detect: float = 1.5
+    elect: float = 1.5
+    hand_over: float = 0.4
+
+
+class Member:
+    """One server's place in its group."""
+
+    def __init__(self, name: str, number: int, suffix: str) -> None:
+        self.name, self.number = name, number
+        self.directory = Directory(suffix)
+        self.context: dict[int, str] = {}  # newest change applied, by origin
+        self.applied = 0  # commits of the log
+        self.last = ""  # change sequence number of the newest
+        self.lag = 1.0  # applies so many times more slowly
+        self.up = True
+        self.hung = False
+        self.skew = 0.0  # of its clock, seconds
+        self.busy = False  # its apply thread
+
+
+class Cluster:
+    """A primary and its copies."""
+
+    def __init__(
+        self,
+        suffix: str,
+        names: list[str],
+        seconds: Callable[[], float],
+        call_later: Callable[..., Any],
+        timing: Timing | None = None,
+        record: Record | None = None,
+    ) -> None:
+        self.suffix, self.timing = suffix, timing or Timing()
+        self.members = {name: Member(name, index + 1, suffix) for index, name in enumerate(names)}
+        self.primary: str | None = names[0]
+        self.log: list[Commit] = []
+        self._seconds, self._call_later = seconds, call_later
+        self._record = record or (lambda fact: None)
+        self._term = 0
+        self._count = 0
+        self._newest: dict[int, float] = {}
+        self.on_change: Callable[[], None] = lambda: None
+
+    def load(self, requests: list[m.Request]) -> None:
+        """Put entries in every member before the day begins."""
+        for request in requests:
+            self.commit(self.primary or "", request, "")
+        for member in self.members.values():
+            while member.applied < len(self.log):
+                self._apply(member)
+
+    def commit(self, name: str, request: m.Request, tag: str) -> tuple[Outcome, str]:
+        """A write at the primary: its result, and the change sequence number under which it was committed."""
+        member = self.members[name]
+        now = self._seconds()
+        stamp = now + member.skew  # a server's number never falls behind its own last one
+        stamp = max(stamp, self._newest.get(member.number, 0.0))
+        self._newest[member.number] = stamp
+        self._count += 1
+        number = csn.render(stamp, self._count & 0xFFFFFF, member.number)
+        outcome = member.directory.apply(request, number)
+        if outcome != OK:
+            return outcome, ""
+        self.log.append(Commit(number, now, request, tag))
+        member.applied, member.last = len(self.log), number
+        member.context[member.number] = number
+        self._record({"kind": "applied", "server": name, "suffix": self.suffix, "csn": number, "tag": tag})
+        for other in self.members.values():
+            if other is not member:
+                self._call_later(self.timing.ship, self._pump, other)
+        return outcome, number
+
+    def _pump(self, member: Member) -> None:
+        """Let a copy's one apply thread take the next commit that has reached it."""
+        if member.busy or not member.up or member.hung or member.name == self.primary:
+            return
+        if member.applied >= len(self.log):
+            return
+        wait = self.log[member.applied].at + self.timing.ship - self._seconds()
+        if wait > 1e-6:
+            self._call_later(wait, self._pump, member)
+            return
+        member.busy = True
+        self._call_later(self.timing.apply * member.lag, self._applied, member, self._term)
+
+    def _applied(self, member: Member, term: int) -> None:
+        if term != self._term:
+            return
+        member.busy = False
+        if member.up and not member.hung and member.applied < len(self.log):
+            self._apply(member)
+        self._pump(member)
+
+    def _apply(self, member: Member) -> None:
+        commit = self.log[member.applied]
+        member.directory.apply(commit.request, commit.csn)
+        member.applied, member.last = member.applied + 1, commit.csn
+        origin = int(commit.csn.split("#")[2], 16)
+        member.context[origin] = commit.csn
+
+    def lose(self, name: str, hangs: bool = False) -> None:
+        """A member dies, or hangs; a primary is replaced after a while."""
+        member = self.members[name]
+        if hangs:
+            member.hung = True
+        else:
+            member.up = False
+        if name == self.primary:
+            self._call_later(self.timing.detect, self._give_up, name, self._term)
+
+    def _give_up(self, name: str, term: int) -> None:
+        member = self.members[name]
+        if term != self._term or (member.up and not member.hung):
+            return
+        self.primary = None
+        self._new_term()
+        self._record({"kind": "given_up", "server": name})
+        self._call_later(self.timing.elect, self._elect)
+
+    def _elect(self) -> None:
+        well = [member for member in self.members.values() if member.up and not member.hung]
+        if not well or self.primary is not None:
+            if self.primary is None:
+                self._call_later(self.timing.elect, self._elect)
+            return
+        best = max(well, key=lambda member: (member.applied, -member.number))
+        lost = self.log[best.applied :]
+        del self.log[best.applied :]
+        self._record(
+            {"kind": "elected", "server": best.name, "suffix": self.suffix, "lost": [commit.csn for commit in lost]}
+        )
+        self.primary = best.name
+        for other in self.members.values():
+            if other.applied > len(self.log):
+                self._rebuild(other)
+        self._new_term()
+        self.on_change()
+
+    def _new_term(self) -> None:
+        """Applies that are under way belong to the old term; every copy begins anew."""
+        self._term += 1
+        for member in self.members.values():
+            member.busy = False
+            self._pump(member)
+
+    def _rebuild(self, member: Member) -> None:
+        """Back to the log as it now is: what was lost with an old primary is undone."""
+        member.directory, member.context = Directory(self.suffix), {}
+        member.applied, member.last = 0, ""
+        while member.applied < len(self.log):
+            self._apply(member)
+
+    def back(self, name: str) -> None:
+        """A member is back where it stood; a primary that was replaced follows as a copy."""
+        member = self.members[name]
+        member.up, member.hung, member.busy = True, False, False
+        if member.applied > len(self.log):
+            self._rebuild(member)
+        self._pump(member)
+
+    def hand_over(self) -> None:
+        """Move the primary by plan: no writes until the best copy has all of the log."""
+        old, self.primary = self.primary, None
+        self._new_term()
+        self._record({"kind": "hand_over", "server": old})
+
+        def take_over() -> None:
+            well = [x for x in self.members.values() if x.up and not x.hung and x.name != old]
+            best = max(well, key=lambda x: x.applied, default=None)
+            if best is None:
+                self._call_later(self.timing.hand_over, take_over)
+                return
+            while best.applied < len(self.log):
+                self._apply(best)
+            self.primary = best.name
+            self._record({"kind": "elected", "server": best.name, "suffix": self.suffix, "lost": []})
+            self._new_term()
+            self.on_change()
+
+        self._call_later(self.timing.hand_over, take_over)
+
+    def behind(self, name: str) -> int:
+        """Commits that a member lacks."""
+        return len(self.log) - self.members[name].applied
--- /dev/null
+++ b/yardbank/standin/directory.py
@@ -0,0 +1,224 @@
+"""A small directory tree held in memory: what operations do to it, and which entries a search finds. No I/O."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from yardbank.ldap import filters
+from yardbank.ldap import messages as m
+
+
+@dataclass(slots=True)
+class Entry:
+    """One entry; attributes by folded name, each with its name as written."""
+
+    dn: str
+    attributes: dict[str, tuple[str, list[bytes]]] = field(default_factory=dict)
+    csn: str = ""
+
+    def copy(self) -> Entry:
+        """An entry that changes apart from this one."""
+        return Entry(self.dn, {key: (name, list(values)) for key, (name, values) in self.attributes.items()}, self.csn)
+
+    def values(self, name: str) -> list[bytes]:
+        """The values of an attribute, entryCSN included."""
+        if name.lower() == "entrycsn":
+            return [self.csn.encode()] if self.csn else []
+        return self.attributes.get(name.lower(), ("", []))[1]
+
+
+Outcome = tuple[int, str]  # result code, diagnostic
+OK: Outcome = (m.Code.SUCCESS, "")
+
+
+class Directory:
+    """A tree of entries under a suffix."""
+
+    def __init__(self, suffix: str) -> None:
+        self.suffix = filters.fold(suffix)
+        self.entries: dict[str, Entry] = {
+            self.suffix: Entry(suffix, {"objectclass": ("objectClass", [b"top", b"domain"])})
+        }
+
+    def apply(self, request: m.Request, csn: str) -> Outcome:
+        """Carry out a write, whole or not at all."""
+        match request:
+            case m.AddRequest():
+                return self._add(request, csn)
+            case m.ModifyRequest():
+                return self._modify(request, csn)
+            case m.DeleteRequest():
+                return self._delete(request)
+            case m.ModifyDNRequest():
+                return self._rename(request, csn)
+        return m.Code.UNWILLING, "no write"
+
+    def _add(self, request: m.AddRequest, csn: str) -> Outcome:
+        dn = filters.fold(request.entry)
+        if dn in self.entries:
+            return m.Code.ENTRY_EXISTS, ""
+        if filters.parent(dn) not in self.entries:
+            return m.Code.NO_SUCH_OBJECT, "the entry above does not exist"
+        entry = Entry(request.entry, csn=csn)
+        for name, values in request.attributes:
+            entry.attributes.setdefault(name.lower(), (name, []))[1].extend(values)
+        self.entries[dn] = entry
+        return OK
+
+    def _modify(self, request: m.ModifyRequest, csn: str) -> Outcome:
+        dn = filters.fold(request.entry)
+        if dn not in self.entries:
+            return m.Code.NO_SUCH_OBJECT, ""
+        entry = self.entries[dn].copy()
+        for kind, name, values in request.changes:
+            held = entry.attributes.get(name.lower(), (name, []))[1]
+            if kind == 0:
+                if any(value in held for value in values):
+                    return m.Code.ATTRIBUTE_OR_VALUE_EXISTS, name
+                held = held + list(values)
+            elif kind == 1:
+                if not held or any(value not in held for value in values):
+                    return m.Code.NO_SUCH_ATTRIBUTE, name
+                held = [value for value in held if values and value not in values]
+            elif kind == 2:
+                held = list(values)
+            else:
+                try:
+                    held = [str(int(value) + int(values[0])).encode() for value in held]
+                except (ValueError, IndexError):
+                    return m.Code.UNWILLING, f"{name} cannot be incremented"
+            if held:
+                entry.attributes[name.lower()] = name, held
+            else:
+                entry.attributes.pop(name.lower(), None)
+        entry.csn = csn
+        self.entries[dn] = entry
+        return OK
+
+    def _children(self, dn: str) -> list[str]:
+        return [key for key in self.entries if key != dn and filters.under(key, dn)]
+
+    def _delete(self, request: m.DeleteRequest) -> Outcome:
+        dn = filters.fold(request.entry)
+        if dn not in self.entries:
+            return m.Code.NO_SUCH_OBJECT, ""
+        if self._children(dn):
+            return m.Code.NOT_ALLOWED_ON_NON_LEAF, ""
+        del self.entries[dn]
+        return OK
+
+    def _rename(self, request: m.ModifyDNRequest, csn: str) -> Outcome:
+        dn = filters.fold(request.entry)
+        if dn not in self.entries:
+            return m.Code.NO_SUCH_OBJECT, ""
+        superior = request.new_superior if request.new_superior is not None else request.entry.partition(",")[2]
+        if filters.fold(superior) not in self.entries:
+            return m.Code.NO_SUCH_OBJECT, "the new superior does not exist"
+        target = filters.fold(f"{request.new_rdn},{superior}")
+        if target in self.entries and target != dn:
+            return m.Code.ENTRY_EXISTS, ""
+        for key in [dn, *self._children(dn)]:
+            entry = self.entries.pop(key).copy()
+            moved = target + key[len(dn) :]
+            entry.dn = f"{request.new_rdn},{superior}" if key == dn else moved
+            self.entries[moved] = entry
+        entry = self.entries[target]
+        entry.csn = csn
+        name, _, value = request.new_rdn.partition("=")
+        old_name, _, old_value = request.entry.partition(",")[0].partition("=")
+        if request.delete_old and old_name.lower() in entry.attributes:
+            shown, held = entry.attributes[old_name.lower()]
+            entry.attributes[old_name.lower()] = shown, [v for v in held if v.lower() != old_value.lower().encode()]
+        shown, held = entry.attributes.setdefault(name.lower(), (name, []))
+        if value.encode() not in held:
+            held.append(value.encode())
+        return OK
+
+    def search(self, request: m.SearchRequest) -> tuple[Outcome, list[Entry]]:
+        """Entries that a search finds, in the order in which they were added."""
+        base = filters.fold(request.base)
+        if base not in self.entries:
+            return (m.Code.NO_SUCH_OBJECT, ""), []
+        if request.scope == m.Scope.BASE:
+            keys = [base]
+        elif request.scope == m.Scope.ONE:
+            keys = [key for key in self.entries if filters.parent(key) == base]
+        else:
+            keys = [key for key in self.entries if filters.under(key, base)]
+        return OK, [self.entries[key] for key in keys if matches(request.filter, self.entries[key])]
+
+    def compare(self, request: m.CompareRequest) -> Outcome:
+        """Whether an entry holds a value."""
+        entry = self.entries.get(filters.fold(request.entry))
+        if entry is None:
+            return m.Code.NO_SUCH_OBJECT, ""
+        held = entry.values(request.attribute)
+        if not held:
+            return m.Code.NO_SUCH_ATTRIBUTE, ""
+        found = any(value.lower() == request.value.lower() for value in held)
+        return (m.Code.COMPARE_TRUE if found else m.Code.COMPARE_FALSE), ""
+
+
+def matches(wanted: m.Filter, entry: Entry) -> bool:
+    """Whether a filter finds an entry; undefined counts as false (RFC 4511 section 4.5.1.7)."""
+    match wanted:
+        case m.And(parts):
+            return all(matches(part, entry) for part in parts)
+        case m.Or(parts):
+            return any(matches(part, entry) for part in parts)
+        case m.Not(part):
+            return not matches(part, entry)
+        case m.Present(name):
+            return bool(entry.values(name))
+        case m.Match(rule, name, value):
+            low = value.lower()
+            held = [one.lower() for one in entry.values(name)]
+            if rule in ("=", "~="):
+                return low in held
+            return any(_ordered(one, low) if rule == ">=" else _ordered(low, one) for one in held)
+        case m.Substrings():
+            return any(_substrings(wanted, value.lower()) for value in entry.values(wanted.attribute))
+        case m.Extensible(_, name, value, _):
+            return name is not None and value.lower() in [one.lower() for one in entry.values(name)]
+    return False
+
+
+def _ordered(larger: bytes, smaller: bytes) -> bool:
+    if larger.isdigit() and smaller.isdigit():
+        return int(larger) >= int(smaller)
+    return larger >= smaller
+
+
+def _substrings(wanted: m.Substrings, value: bytes) -> bool:
+    at, end = 0, len(value)
+    if wanted.initial is not None:
+        if not value.startswith(wanted.initial.lower()):
+            return False
+        at = len(wanted.initial)
+    if wanted.final is not None:
+        if not value.endswith(wanted.final.lower()) or end - len(wanted.final) < at:
+            return False
+        end -= len(wanted.final)
+    for part in wanted.any:
+        found = value.find(part.lower(), at, end)
+        if found < 0:
+            return False
+        at = found + len(part)
+    return True
+
+
+def show(entry: Entry, request: m.SearchRequest, extra: m.Attributes = ()) -> m.SearchEntry:
+    """An entry as a search asks to see it; ``extra`` are operational attributes."""
+    asked = [name.lower() for name in request.attributes]
+    everything, operational = not asked or "*" in asked, "+" in asked
+    shown = [
+        (name, tuple(values))
+        for key, (name, values) in entry.attributes.items()
+        if values and (everything or key in asked)
+    ]
+    if entry.csn and ("entrycsn" in asked or operational):
+        shown.append(("entryCSN", (entry.csn.encode(),)))
+    shown += [(name, values) for name, values in extra if values and (name.lower() in asked or operational)]
+    if request.types_only:
+        shown = [(name, ()) for name, _ in shown]
+    return m.SearchEntry(entry.dn, tuple(shown))
--- /dev/null
+++ b/yardbank/standin/server.py
@@ -0,0 +1,408 @@
+"""A stand-in LDAP server on a loopback socket: serves its member's copy, and misbehaves on command."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Factory, Protocol
+from twisted.python.failure import Failure
+
+from yardbank.ldap import codec, filters
+from yardbank.ldap import messages as m
+from yardbank.ldap.ber import INTEGER, OCTETS, SEQUENCE, expect, integer, tlv
+from yardbank.ldap.state import Abandoned, Asked, Broken, Closed, ServerEnd
+from yardbank.standin.cluster import Cluster, Record
+from yardbank.standin.directory import matches, show
+
+TAG_CONTROL = "1.3.6.1.4.1.32473.1.1"  # under the arc for documentation: names a request in records
+_WRITES = (m.AddRequest, m.ModifyRequest, m.ModifyDNRequest, m.DeleteRequest)
+
+
+@dataclass(slots=True)
+class Capacity:
+    """How much a server can do, and how it warms up."""
+
+    slots: int = 4
+    queue: int = 64
+    read_s: float = 0.002
+    write_s: float = 0.003
+    cold_s: float = 4.0
+    cold_share: float = 0.3
+
+
+@dataclass(slots=True)
+class Faults:
+    """What is wrong with a server now."""
+
+    hang: bool = False
+    refuse: bool = False
+    half_open: bool = False
+    full: bool = False
+    slow: float = 1.0
+    trickle: bool = False
+    reset_next: int = 0  # so many answers break off half way
+    lose_next: int = 0  # so many committed writes go unanswered, the connection closed
+    garbage_next: int = 0  # so many answers are random octets
+
+
+@dataclass(slots=True)
+class _Job:
+    link: _Link
+    message: m.Message
+    tag: str
+    kind: str
+
+
+class Standin:
+    """One server: a member of a cluster, listening on a port."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        cluster: Cluster,
+        name: str,
+        *,
+        port: int = 0,
+        capacity: Capacity | None = None,
+        record: Record | None = None,
+        bind: tuple[str, str] | None = None,
+        seed: int = 0,
+    ) -> None:
+        self.reactor, self.cluster, self.name = reactor, cluster, name
+        self.member = cluster.members[name]
+        self.capacity, self.faults = capacity or Capacity(), Faults()
+        self.bind = (filters.fold(bind[0]), bind[1].encode()) if bind else None
+        self.started = 0.0  # 0: long ago
+        self.record = record or (lambda fact: None)
+        self.random = random.Random(f"{seed}/{name}")
+        self.links: dict[_Link, None] = {}
+        self._jobs: deque[_Job] = deque()
+        self._busy = 0
+        self._paused: list[Callable[[], None]] = []
+        self._port: Any = None
+        self._epoch = 0
+        self.port = port
+        self.listen()
+
+    # Faults on command
+
+    def listen(self) -> None:
+        """Take connections; always on the same port once one was given."""
+        factory = _Door(self)
+        self._port = self.reactor.listenTCP(self.port, factory, interface="127.0.0.1")
+        self.port = self._port.getHost().port
+
+    def note(self, kind: str, **facts: Any) -> None:
+        """Record what happened here."""
+        self.record({"kind": kind, "server": self.name, **facts})
+
+    def crash(self) -> None:
+        """The process dies: connections are reset, work is gone."""
+        self.note("crash")
+        self._epoch += 1
+        self._jobs.clear()
+        self._busy = 0
+        self._paused.clear()
+        self.faults = Faults()
+        self.stop()
+        self.cluster.lose(self.name)
+
+    def restart(self) -> None:
+        """It is back, cold, where its log stood."""
+        self.started = self.reactor.seconds()
+        self.listen()
+        self.cluster.back(self.name)
+        self.note("start", cold_s=self.capacity.cold_s, cold_share=self.capacity.cold_share, per_s=self.per_second())
+
+    def hang(self) -> None:
+        """Takes connections and work, answers nothing."""
+        self.note("hang")
+        self.faults.hang = True
+        self.cluster.lose(self.name, hangs=True)
+
+    def unhang(self) -> None:
+        """It goes on where it stopped."""
+        self.note("unhang")
+        self.faults.hang = False
+        self.cluster.back(self.name)
+        paused, self._paused = self._paused, []
+        for go_on in paused:
+            go_on()
+
+    def refuse(self, on: bool) -> None:
+        """Refuse new connections while the process runs."""
+        self.note("refuse", on=on)
+        if on and self._port is not None:
+            self._port.stopListening()
+            self._port = None
+        elif not on and self._port is None:
+            self.listen()
+
+    def stop(self) -> None:
+        """Close everything at once."""
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+        for link in list(self.links):
+            link.reset()
+
+    # Work
+
+    def warmth(self) -> float:
+        """The share of its capacity that it has now."""
+        if not self.started:
+            return 1.0
+        age: float = (self.reactor.seconds() - self.started) / self.capacity.cold_s
+        return min(1.0, self.capacity.cold_share + (1 - self.capacity.cold_share) * age)
+
+    def per_second(self) -> float:
+        """Reads a second when warm."""
+        return float(self.capacity.slots / self.capacity.read_s)
+
+    def take(self, job: _Job) -> None:
+        """Begin work, queue it, or turn it away."""
+        self.note("received", tag=job.tag, op=job.kind)
+        if self.faults.full or len(self._jobs) >= self.capacity.queue:
+            self.note("full", tag=job.tag)
+            job.link.finish(job, m.Code.BUSY, "the queue is full")
+            return
+        self._jobs.append(job)
+        self._next()
+
+    def _next(self) -> None:
+        while self._jobs and self._busy < self.capacity.slots:
+            job = self._jobs.popleft()
+            if not job.link.end.owes(job.message.id):
+                continue
+            self._busy += 1
+            write = isinstance(job.message.operation, _WRITES)
+            cost = self.capacity.write_s if write else self.capacity.read_s
+            cost *= self.faults.slow / self.warmth()
+            self.reactor.callLater(cost, self._worked, job, self._epoch)
+
+    def _worked(self, job: _Job, epoch: int) -> None:
+        if epoch != self._epoch:
+            return
+        if self.faults.hang:
+            self._paused.append(lambda: self._worked(job, epoch))
+            return
+        self._busy -= 1
+        job.link.run(job)
+        self._next()
+
+
+class _Door(Factory):
+    noisy = False
+
+    def __init__(self, server: Standin) -> None:
+        self._server = server
+
+    def buildProtocol(self, addr: Any) -> _Link:
+        return _Link(self._server)
+
+
+class _Link(Protocol):
+    """One connection to a stand-in."""
+
+    transport: Any  # Twisted's stubs name no methods of a TCP transport
+
+    def __init__(self, server: Standin) -> None:
+        self.server = server
+        self.end = ServerEnd(16 << 20, 10_000)
+        self.bound = server.bind is None
+        self.dead = False  # half open: the other end is gone and nobody says so
+        self._trickling: deque[bytes] = deque()
+
+    def connectionMade(self) -> None:
+        self.server.links[self] = None
+        if hasattr(self.transport, "setTcpNoDelay"):
+            self.transport.setTcpNoDelay(True)
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+        self.server.links.pop(self, None)
+        self.end.close()
+
+    def reset(self) -> None:
+        """Go without a word."""
+        self.end.close()
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.dead:
+            return
+        if self.server.faults.half_open:
+            self.dead = True
+            return
+        for event in self.end.receive(data):
+            if isinstance(event, Asked):
+                self._asked(event.message)
+            elif isinstance(event, Broken):
+                self.send(event.notice)
+                self.transport.loseConnection()
+            elif isinstance(event, Closed):
+                self.transport.loseConnection()
+            elif isinstance(event, Abandoned):
+                self.server.note("abandoned", target=event.target)
+
+    def _asked(self, message: m.Message) -> None:
+        server, operation = self.server, message.operation
+        if isinstance(operation, m.BindRequest):
+            wanted = server.bind
+            good = wanted is None or (filters.fold(operation.name) == wanted[0] and operation.password == wanted[1])
+            self.bound = good
+            code = m.Code.SUCCESS if good else m.Code.INVALID_CREDENTIALS
+            answer = self.end.final(message.id, m.Result(m.Tag.BIND_RESPONSE, code))
+            if server.faults.hang:
+                server._paused.append(lambda: self.send(answer))
+            else:
+                self.send(answer)
+            return
+        tag = next((c.value.decode() for c in message.controls if c.oid == TAG_CONTROL and c.value), "")
+        asked = getattr(operation, "attributes", ())
+        probe = isinstance(operation, m.SearchRequest) and "contextCSN" in asked
+        kind = "probe" if probe else type(operation).__name__.removesuffix("Request").lower()
+        job = _Job(self, message, tag, kind)
+        if not self.bound:
+            self.finish(job, m.Code.INSUFFICIENT_ACCESS, "bind first")
+        elif probe:  # answered beside the queue, unless the process hangs
+            if server.faults.hang:
+                server._paused.append(lambda: self.run(job))
+            else:
+                self.run(job)
+        else:
+            server.take(job)
+
+    def run(self, job: _Job) -> None:
+        """Carry one operation out and answer it."""
+        operation, server = job.message.operation, self.server
+        if isinstance(operation, m.SearchRequest):
+            self._search(job, operation)
+        elif isinstance(operation, m.CompareRequest):
+            code, text = server.member.directory.compare(operation)
+            self.finish(job, code, text)
+        elif isinstance(operation, _WRITES):
+            self._write(job, operation)
+        else:
+            self.finish(job, m.Code.PROTOCOL_ERROR, "not supported here")
+
+    def _search(self, job: _Job, request: m.SearchRequest) -> None:
+        server, cluster = self.server, self.server.cluster
+        (code, text), found = server.member.directory.search(request)
+        role = "primary" if cluster.primary == server.name else "copy"
+        out: list[bytes] = []
+        controls: tuple[m.Control, ...] = ()
+        page = next((c for c in job.message.controls if c.oid == m.Oid.PAGED_RESULTS and c.value), None)
+        if page is not None and code == m.Code.SUCCESS:
+            found, controls = _page(found, page)
+        if request.size_limit and len(found) > request.size_limit:
+            found, code = found[: request.size_limit], m.Code.SIZE_LIMIT
+        for entry in found:
+            extra: m.Attributes = ()
+            if filters.fold(entry.dn) == server.member.directory.suffix:
+                marks = tuple(value.encode() for value in server.member.context.values())
+                extra = (("contextCSN", marks), ("replicationRole", (role.encode(),)))
+            raw = codec.encode_operation(show(entry, request, extra))
+            out.append(self.end.part(job.message.id, codec.Envelope(0, m.Tag.ENTRY, raw, b"")))
+        self.finish(job, code, text, controls, b"".join(out), last=server.member.last, role=role)
+
+    def _write(self, job: _Job, request: m.Request) -> None:
+        server, cluster = self.server, self.server.cluster
+        if cluster.primary != server.name:
+            primary = cluster.primary or server.name
+            tag = m.RESPONSE_TAG[type(request)]
+            result = m.Result(tag, m.Code.REFERRAL, referrals=(f"ldap://{primary}/",))
+            server.note("answered", tag=job.tag, code=int(result.code))
+            self.send(self.end.final(job.message.id, result))
+            return
+        assertion = next((c for c in job.message.controls if c.oid == m.Oid.ASSERTION), None)
+        entry = server.member.directory.entries.get(filters.fold(getattr(request, "entry", "")))
+        if assertion is not None and entry is not None:
+            if not matches(codec.decode_bare_filter(assertion.value or b""), entry):
+                self.finish(job, m.Code.ASSERTION_FAILED)
+                return
+        (code, text), number = cluster.commit(server.name, request, job.tag)
+        if number and server.faults.lose_next > 0:
+            server.faults.lose_next -= 1
+            server.note("answer_lost", tag=job.tag)
+            self.reset()
+            return
+        self.finish(job, code, text, self._post_read(job, request) if number else ())
+
+    def _post_read(self, job: _Job, request: m.Request) -> tuple[m.Control, ...]:
+        wanted = next((c for c in job.message.controls if c.oid == m.Oid.POST_READ), None)
+        if wanted is None or isinstance(request, m.DeleteRequest):
+            return ()
+        dn = filters.fold(getattr(request, "entry", ""))
+        if isinstance(request, m.ModifyDNRequest):
+            superior = request.new_superior if request.new_superior is not None else request.entry.partition(",")[2]
+            dn = filters.fold(f"{request.new_rdn},{superior}")
+        asked = m.SearchRequest("", 0, m.Present("objectClass"), codec.read_post_read_request(wanted.value or b""))
+        entry = show(self.server.member.directory.entries[dn], asked)
+        return (m.Control(m.Oid.POST_READ, False, codec.encode_operation(entry)),)
+
+    def finish(
+        self,
+        job: _Job,
+        code: int,
+        text: str = "",
+        controls: tuple[m.Control, ...] = (),
+        before: bytes = b"",
+        **facts: Any,
+    ) -> None:
+        """The final answer, with what goes wrong with it now."""
+        server, faults = self.server, self.server.faults
+        tag = m.RESPONSE_TAG.get(type(job.message.operation), m.Tag.EXTENDED_RESPONSE)
+        data = self.end.final(job.message.id, m.Result(tag, code, diagnostic=text), controls)
+        if not data:
+            return
+        server.note("answered", tag=job.tag, op=job.kind, code=int(code), **facts)
+        data = before + data
+        if job.kind != "probe" and faults.reset_next > 0:
+            faults.reset_next -= 1
+            server.note("reset_mid_answer", tag=job.tag)
+            self.send(data[: len(data) // 2])
+            self.end.close()
+            self.transport.loseConnection()
+        elif job.kind != "probe" and faults.garbage_next > 0:
+            faults.garbage_next -= 1
+            server.note("garbage", tag=job.tag)
+            self.send(server.random.randbytes(len(data)))
+        else:
+            self.send(data)
+
+    def send(self, data: bytes) -> None:
+        """Write, one octet at a time where asked."""
+        if self.transport is None or not data or self.dead:
+            return
+        if not self.server.faults.trickle and not self._trickling:
+            self.transport.write(data)
+            return
+        idle = not self._trickling
+        self._trickling.extend(data[at : at + 1] for at in range(len(data)))
+        if idle:
+            self._trickle()
+
+    def _trickle(self) -> None:
+        if self._trickling and self.transport is not None:
+            self.transport.write(self._trickling.popleft())
+            self.server.reactor.callLater(0.0001, self._trickle)
+
+
+def _page(found: list[Any], control: m.Control) -> tuple[list[Any], tuple[m.Control, ...]]:
+    """One page (RFC 2696); the cookie is where the next one begins, so any copy can go on with it."""
+    value = control.value or b""
+    low, high = expect(value, 0, len(value), SEQUENCE, "pagedResults")
+    first, last = expect(value, low, high, INTEGER, "size")
+    size = int.from_bytes(value[first:last], "big")
+    first, last = expect(value, last, high, OCTETS, "cookie")
+    start = int(value[first:last] or b"0")
+    rest = start + size
+    cookie = str(rest).encode() if size > 0 and rest < len(found) else b""
+    body = tlv(SEQUENCE, integer(0) + tlv(OCTETS, cookie))
+    return found[start:rest] if size else found, (m.Control(m.Oid.PAGED_RESULTS, False, body),)
