Tests of the LDAP path, twice: in process and as a daemon; the audit finds each wrong gateway guilty

Nothing yet proved that a request survives the whole path, or that the audit can fail. A slow reader's bound did not count: the transport repeats its pause at each write, which set the count back to 0.

--- /dev/null
+++ b/tests/net.py
@@ -0,0 +1,105 @@
+"""A reactor in a thread of its own, so that tests can wait for what happens on real sockets."""
+
+import threading
+import time
+from contextlib import contextmanager
+
+import structlog
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.internet.threads import blockingCallFromThread
+
+from yardbank.lab.client import connect
+from yardbank.lab.world import DESK_DN, DESK_PASSWORD, Recorder, World
+from yardbank.ldap import messages as m
+from yardbank.standin.server import TAG_CONTROL
+
+structlog.configure(logger_factory=structlog.ReturnLoggerFactory())
+_running = threading.Event()
+
+
+def ensure_reactor():
+    if not _running.is_set():
+        reactor.seconds = time.monotonic
+        threading.Thread(target=reactor.run, kwargs={"installSignalHandlers": False}, daemon=True).start()
+        _running.set()
+
+
+def run(function, *args, **kwargs):
+    """Call in the reactor's thread; wait for a Deferred's result."""
+    return blockingCallFromThread(reactor, maybeDeferred, function, *args, **kwargs)
+
+
+def until(condition, seconds=20):
+    """Wait in the reactor's thread until something holds; fails if it never does."""
+    done, end = Deferred(), time.monotonic() + seconds
+
+    def look():
+        try:
+            if condition():
+                done.callback(None)
+            elif time.monotonic() > end:
+                done.errback(AssertionError("what the test waits for never happened"))
+            else:
+                reactor.callLater(0.005, look)
+        except Exception as problem:
+            done.errback(problem)
+
+    def begin():
+        look()
+        return done
+
+    run(begin)
+
+
+class Desk:
+    """A bound client, used from the test's thread."""
+
+    def __init__(self, world, name="desk", bind=True):
+        self.world = world
+        self.client = run(connect, reactor, "127.0.0.1", world.port, name, world.record)
+        self.asked = 0
+        if bind:
+            assert run(self.client.bind, DESK_DN, DESK_PASSWORD).code == m.Code.SUCCESS
+
+    def ask(self, operation, need="write", group="numbers", controls=(), **more):
+        """Send a recorded request; the result is a Deferred."""
+        self.asked += 1
+        tag = f"{self.client.name}/{self.asked}"
+        facts = {"read": need, "session": self.client.name} | more
+        control = m.Control(TAG_CONTROL, False, tag.encode())
+        deadline = {"write": 3.0, "session": 2.0, "bounded": 1.5}[need]
+        suffix = f"ou={group},dc=porting"
+        return self.client.request(operation, (control, *controls), tag, need=facts, deadline=deadline, suffix=suffix)
+
+    def get(self, *args, **kwargs):
+        return run(self.ask, *args, **kwargs)
+
+    def modify(self, value=b"x", group="numbers", number=0, **more):
+        entry = f"cn={number},ou={group},dc=porting"
+        return self.get(m.ModifyRequest(entry, ((2, "description", (value,)),)), "write", group, **more)
+
+    def read(self, group="requests", need="session", number=0, **more):
+        entry = f"cn={number},ou={group},dc=porting"
+        return self.get(m.SearchRequest(entry, 0, m.Present("objectClass")), need, group, **more)
+
+
+def shown(answer, name="description"):
+    """The values of an attribute in the one entry of an answer."""
+    (entry,) = answer.entries
+    return dict(entry.attributes)[name]
+
+
+@contextmanager
+def world(daemon=False, entries=5, start=True, **more):
+    """A world with its gateway up."""
+    ensure_reactor()
+    made = run(World, reactor, Recorder(), daemon=daemon, **more)
+    try:
+        run(made.load, entries)
+        if start:
+            run(made.start_gateway)
+        yield made
+    finally:
+        run(made.stop_gateway)
+        run(made.close)
--- /dev/null
+++ b/tests/test_audit.py
@@ -0,0 +1,183 @@
+"""The audit can find a gateway guilty: for each rule, one that breaks it on purpose, and the frames named."""
+
+import pytest
+from click.testing import CliRunner
+
+from tests.net import Desk, run, until, world
+from yardbank import interface as api
+from yardbank.audit import judge
+from yardbank.audit.judge import Bounds
+from yardbank.cli import main
+from yardbank.ldap import messages as m
+from yardbank.policy import Router
+from yardbank.standin.server import Capacity
+
+NUMBERS, REQUESTS = "ou=numbers,dc=porting", "ou=requests,dc=porting"
+
+
+def guilty(place, name, **bounds):
+    verdict = judge(sorted(place.record.facts, key=lambda fact: fact["at"]), Bounds(**bounds))
+    assert not verdict.rules[name].held
+    assert [rule for rule in verdict.rules if not verdict.rules[rule].held] == [name]
+    return verdict.rules[name].found[0]
+
+
+class Forgets(Router):
+    """Takes reads and never answers them."""
+
+    def handle(self, now, event):
+        if isinstance(event, api.Request) and event.class_name == "route-lookup":
+            return []
+        return super().handle(now, event)
+
+
+def test_a_request_that_is_never_answered_is_found():
+    with world(router=Forgets, extra='limits {\n  stop_grace = "50ms"\n}') as place:
+        desk = Desk(place)
+        request = m.SearchRequest(f"cn=1,{NUMBERS}", 0, m.Present("cn"))
+        run(lambda: [[desk.ask(request, "bounded", staleness=0.8)]])
+        assert desk.modify().code == 0
+        place.record({"kind": "end", "at": place.record.facts[-1]["at"] + 2.0})
+        found = guilty(place, "one_answer")
+        assert "never answered" in found and "desk/1" in found
+
+
+def test_a_second_answer_is_found():
+    with world() as place:
+        desk = Desk(place)
+        desk.modify()
+
+        def repeat():
+            (front,) = (c for c in place.proxy._factories[0].clients)
+            result = m.Result(m.Tag.MODIFY_RESPONSE, 0)
+            from yardbank.ldap import codec
+
+            front.transport.write(codec.encode(m.Message(2, result)))
+
+        run(repeat)
+        until(lambda: desk.client.gone)
+        assert "nothing it was owed" in guilty(place, "one_answer")
+
+
+class Resends(Router):
+    """Sends a write again whatever became of it."""
+
+    def may_resend(self, held):
+        return held.attempts < 3
+
+
+def test_a_write_sent_twice_is_found():
+    with world(router=Resends) as place:
+        place.servers["n1"].faults.lose_next = 1
+        desk = Desk(place)
+        desk.modify()
+        until(lambda: len([f for f in place.record.facts if f["kind"] == "applied" and f["tag"] == "desk/1"]) == 2)
+        until(lambda: any(f["kind"] == "answer" for f in place.record.facts))
+        assert "sent again after it may have run" in guilty(place, "no_effect_twice")
+
+
+class Refuses(Router):
+    """Says that nothing ran, whatever happened."""
+
+    def give_up(self, held):
+        held.ran_at = None
+        super().give_up(held)
+
+
+def test_a_refusal_of_what_ran_is_found():
+    with world(router=Refuses) as place:
+        place.servers["n1"].faults.lose_next = 1
+        desk = Desk(place)
+        assert desk.modify().code == m.Code.BUSY
+        assert "refused though" in guilty(place, "no_effect_twice")
+
+
+class IgnoresDrains(Router):
+    """Never hears that a server drains."""
+
+    def on_serverlist(self, event):
+        if not self.servers:
+            super().on_serverlist(event)
+
+
+def test_a_send_after_the_grace_is_found():
+    with world(router=IgnoresDrains) as place:
+        desk = Desk(place)
+        desk.read("numbers", "bounded", staleness=0.8)
+        run(place.tell, n2="draining", n3="draining")
+        for _ in range(20):
+            desk.read("numbers", "bounded", staleness=0.8)
+        assert "sent after the grace" in guilty(place, "drains_kept", drain_grace=0.0)
+
+
+class Floods(Router):
+    """Takes a cold server for a warm one, and puts no limit on anything."""
+
+    def warmth(self, server):
+        return 1.0
+
+    def has_room(self, server, held):
+        return True
+
+    def cost(self, server, primary):
+        return 0.0 if server.started else 1.0
+
+
+def test_a_cold_server_that_is_flooded_is_found():
+    capacity = Capacity(slots=1, queue=10_000, read_s=0.02, cold_s=10.0)
+    with world(router=Floods, capacity=capacity, entries=2) as place:
+        desk = Desk(place)
+        desk.read("numbers", "bounded", staleness=0.8)
+
+        run(place.servers["n2"].crash)
+
+        def again():
+            place.servers["n2"].restart()
+            place.tell(n2="ready")
+
+        run(again)
+        request = m.SearchRequest(f"cn=1,{NUMBERS}", 0, m.Present("cn"))
+        run(lambda: [[desk.ask(request, "bounded", staleness=0.8) for _ in range(150)]])
+        until(lambda: sum(f["kind"] == "received" and f["server"] == "n2" for f in place.record.facts) > 100)
+        verdict = judge(sorted(place.record.facts, key=lambda fact: fact["at"]))
+        assert not verdict.rules["cold_not_pushed_over"].held
+
+
+class ReadsAnywhere(Router):
+    """Forgets what a read must see."""
+
+    def needed(self, held, at):
+        return 0
+
+    def cost(self, server, primary):
+        return 1.0 if server is primary else 0.0
+
+
+@pytest.mark.parametrize(
+    ("need", "group", "more"), [("session", "requests", {}), ("bounded", "numbers", {"staleness": 0.0})]
+)
+def test_a_stale_read_is_found(need, group, more):
+    with world(router=ReadsAnywhere) as place:
+        for name in ("r2", "r3", "n2", "n3"):
+            place.servers[name].member.lag = 1e6
+        desk = Desk(place)
+        desk.modify(b"new", group)
+        assert desk.read(group, need, **more).code == 0
+        assert "lacks" in guilty(place, "no_stale_read")
+
+
+def test_the_command_says_so(tmp_path):
+    record = tmp_path / "record.jsonl"
+    sent = '{"at":1,"kind":"sent","client":"c","tag":"c/1","deadline":1}\n'
+    answer = '{"at":1.1,"kind":"answer","client":"c","tag":"c/1","code":0}\n'
+    record.write_text(sent + answer)
+    done = CliRunner().invoke(main, ["audit", str(record)])
+    assert done.exit_code == 0 and "1 served" in done.output
+    record.write_text(sent + answer + answer)
+    done = CliRunner().invoke(main, ["audit", "--json", str(record)])
+    assert done.exit_code == 1 and "answered twice" in done.output
+    record.write_text(sent + '{"at":2,"kind":"answer"}\n' + sent)
+    done = CliRunner().invoke(main, ["audit", str(record)])
+    assert done.exit_code == 2 and "record.jsonl:2: 'tag' is missing" in done.output
+    record.write_text(sent + answer + '{"at":3,"ki')  # its writer was killed
+    assert CliRunner().invoke(main, ["audit", str(record)]).exit_code == 0
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,168 @@
+"""The thin shell: workers on one port, restarts, signals; and a compressed bad day, both ways."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import replace
+
+import pytest
+from twisted.internet import reactor
+from twisted.internet.defer import gatherResults
+
+from tests.net import Desk, ensure_reactor, run, until, world
+from yardbank.daemon.restarts import Restarts
+from yardbank.lab.client import connect
+from yardbank.lab.world import DESK_DN, DESK_PASSWORD
+from yardbank.ldap import messages as m
+
+
+def wait_for(condition, seconds=20):
+    end = time.monotonic() + seconds
+    while not condition():
+        assert time.monotonic() < end, "what the test waits for never happened"
+        time.sleep(0.01)
+
+
+def log_lines(path):
+    return [json.loads(line) for line in path.read_text().splitlines() if line.startswith("{")]
+
+
+def test_restarts_wait_longer_each_time_until_one_lives_long():
+    plan = Restarts(first=0.1, most=1.0, settled=10.0)
+    waits = []
+    for now in range(6):
+        plan.started(now)
+        waits.append(plan.died(now + 0.5))
+    assert waits == [0.0, 0.1, 0.2, 0.4, 0.8, 1.0]
+    plan.started(10)
+    assert plan.died(25) == 0.0
+
+
+def test_workers_share_a_port_and_a_dead_one_is_started_again(tmp_path):
+    with world(start=False) as place:
+        place.port = run(lambda: _free_port())
+        file, log = tmp_path / "g.hcl", tmp_path / "log"
+        file.write_text(place.settings().replace('level = "warning"', 'level = "info"'))
+        with log.open("wb") as out:
+            command = [sys.executable, "-m", "yardbank", "serve", str(file), "--workers", "2"]
+            process = subprocess.Popen(command, stderr=out)
+        try:
+
+            def events(name):
+                return [line for line in log_lines(log) if line["event"] == name]
+
+            wait_for(lambda: len(events("listening")) == 2)
+            desk = Desk(place)
+            assert desk.modify().code == 0
+            os.kill(events("worker_started")[0]["pid"], signal.SIGKILL)
+            wait_for(lambda: len(events("listening")) == 3)
+            assert events("worker_died")[0]["signal"] == signal.SIGKILL
+            assert Desk(place, "again").modify().code == 0
+            process.send_signal(signal.SIGHUP)
+            wait_for(lambda: len(events("reloaded")) == 2)
+            file.write_text("nonsense {")
+            process.send_signal(signal.SIGHUP)
+            wait_for(lambda: len(events("reload_rejected")) == 2)
+            assert str(file) in events("reload_rejected")[0]["fault"]
+            assert Desk(place, "still").modify().code == 0  # the last good settings serve on
+            process.send_signal(signal.SIGTERM)
+            assert process.wait(20) == 0
+            assert len(events("stopped")) >= 2
+        finally:
+            process.kill()
+
+
+def _free_port():
+    from yardbank.proxy import listening_socket
+
+    made = listening_socket("127.0.0.1", 0, False)
+    port = made.getsockname()[1]
+    made.close()
+    return port
+
+
+def test_settings_that_cannot_change_in_service_are_refused_whole():
+    from yardbank.config import load_text
+
+    with world() as place:
+        text = place.settings()
+        before = place.proxy.config
+        with pytest.raises(ValueError, match="limits: cannot change in service"):
+            run(place.proxy.reload, load_text(text + "limits {\n  max_open = 5\n}\n"))
+        assert place.proxy.config is before
+
+
+def test_a_slow_reader_is_held_back_and_others_are_served():
+    with world(entries=200) as place:
+        slow, other = Desk(place, "slow"), Desk(place, "other")
+        front = next(iter(place.proxy._factories[0].clients))
+
+        def flood():
+            slow.client.transport.pauseProducing()
+            slow.client.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            front.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            request = m.SearchRequest("ou=numbers,dc=porting", 2, m.Present("objectClass"))
+            return [[slow.client.request(request) for _ in range(300)]]
+
+        (waiting,) = run(flood)
+        until(lambda: front._unread is not None)  # it is not read from any more
+        assert other.modify().code == 0
+        assert front._unread <= front._options.max_unread
+        run(slow.client.transport.resumeProducing)
+        answers = run(lambda: gatherResults(waiting))
+        assert len(answers) == 300 and any(len(answer.entries) == 201 for answer in answers)
+
+
+def test_a_reader_that_never_reads_is_dropped_at_the_bound():
+    with world(entries=200, extra="") as place:
+        factory = place.proxy._factories[0]
+        factory.options = replace(factory.options, max_unread=20_000)
+        slow, other = Desk(place, "slow"), Desk(place, "other")
+        front = next(iter(factory.clients))
+
+        def flood():
+            slow.client.transport.pauseProducing()
+            slow.client.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            front.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            request = m.SearchRequest("ou=numbers,dc=porting", 2, m.Present("objectClass"))
+            for _ in range(300):
+                slow.client.request(request)
+
+        run(flood)
+        until(lambda: front not in factory.clients)
+        assert other.modify().code == 0
+
+
+@pytest.mark.parametrize("daemon", [False, True], ids=["library", "daemon"])
+def test_a_compressed_bad_day_keeps_every_rule(tmp_path, daemon):
+    verdict = tmp_path / "verdict.json"
+    command = [sys.executable, "-m", "yardbank", "demo", "--seconds", "8", "--json", str(verdict)]
+    done = subprocess.run([*command, *(["--daemon"] if daemon else [])], capture_output=True, text=True, check=False)
+    assert done.returncode == 0, done.stdout + done.stderr
+    found = json.loads(verdict.read_text())
+    assert found["held"] and len(found["troubles"]) == 20
+    assert all(rule["held"] and rule["judged"] > 0 for rule in found["rules"].values())
+    assert found["answers"]["served"] > 300
+
+
+def test_demo_stay_says_how_to_reach_it(tmp_path):
+    ensure_reactor()
+    reach = tmp_path / "reach.json"
+    process = subprocess.Popen([sys.executable, "-m", "yardbank", "demo", "--stay", "--json", str(reach)])
+    try:
+        wait_for(reach.exists)
+        found = json.loads(reach.read_text())
+        port = int(found["ldap_url"].rpartition(":")[2])
+        client = run(connect, reactor, "127.0.0.1", port, "any")
+        assert run(client.bind, found["bind_dn"], found["bind_password"]).code == 0
+        assert (found["bind_dn"], found["bind_password"]) == (DESK_DN, DESK_PASSWORD)
+        change = m.ModifyRequest(found["writable_dn"], ((2, "description", (b"tried",)),))
+        assert run(client.request, change).code == 0
+        process.send_signal(signal.SIGINT)
+        assert process.wait(20) == 0
+    finally:
+        process.kill()
--- /dev/null
+++ b/tests/test_ldap_path.py
@@ -0,0 +1,311 @@
+"""The whole LDAP path, client to stand-in and back; every test runs against library and daemon alike."""
+
+import subprocess
+import sys
+
+import ldap3
+import pytest
+from twisted.internet.defer import gatherResults
+
+from tests.net import Desk, run, shown, until, world
+from yardbank.audit import judge
+from yardbank.lab.world import DESK_DN, DESK_PASSWORD, NUMBERS, REQUESTS
+from yardbank.ldap import messages as m
+from yardbank.ldap.ber import integer, tlv
+
+pytestmark = pytest.mark.parametrize("daemon", [False, True], ids=["library", "daemon"])
+
+
+def facts(place, kind, **more):
+    return [f for f in place.record.facts if f["kind"] == kind and more.items() <= f.items()]
+
+
+def held(place):
+    verdict = judge(sorted(place.record.facts, key=lambda fact: fact["at"]))
+    assert verdict.held, [rule.found for rule in verdict.rules.values()]
+
+
+def ldap3_connection(place, **more):
+    server = ldap3.Server(f"ldap://127.0.0.1:{place.port}", get_info=ldap3.NONE)
+    more = {"user": DESK_DN, "password": DESK_PASSWORD, "receive_timeout": 10} | more
+    return ldap3.Connection(server, **more)
+
+
+def test_a_client_that_others_wrote_does_every_operation(daemon):
+    with world(daemon, entries=20) as place:
+        desk = ldap3_connection(place)
+        assert desk.bind()
+        assert desk.search(REQUESTS, "(cn=3)", ldap3.LEVEL, attributes=["cn", "description"])
+        assert desk.entries[0].description.value == "new"
+        assert desk.search(f"cn=4,{REQUESTS}", "(objectClass=*)", ldap3.BASE)
+        assert desk.search(REQUESTS, "(|(cn=1)(&(cn=1*)(!(cn=15))))", ldap3.SUBTREE)
+        assert len(desk.entries) == 10
+        assert not desk.search(f"cn=none,{REQUESTS}", "(objectClass=*)", ldap3.BASE)
+        assert desk.result["result"] == m.Code.NO_SUCH_OBJECT
+        entry = f"cn=new,{REQUESTS}"
+        assert desk.add(entry, "device", {"description": "made", "serialNumber": "7"})
+        assert not desk.add(entry, "device") and desk.result["result"] == m.Code.ENTRY_EXISTS
+        assert desk.compare(entry, "description", "made") and not desk.compare(entry, "description", "other")
+        changes = {"description": [(ldap3.MODIFY_REPLACE, ["a"])], "serialNumber": [(ldap3.MODIFY_DELETE, ["7"])]}
+        assert desk.modify(entry, changes)
+        assert "controls" not in desk.result or not desk.result["controls"]  # the post-read control was ours
+        assert desk.modify_dn(entry, "cn=moved")
+        assert desk.search(f"cn=moved,{REQUESTS}", "(objectClass=*)", ldap3.BASE, attributes=["*"])
+        assert desk.entries[0].description.value == "a"
+        assert desk.delete(f"cn=moved,{REQUESTS}")
+        assert not desk.search(f"cn=moved,{REQUESTS}", "(objectClass=*)", ldap3.BASE)
+        pages = desk.extend.standard.paged_search(REQUESTS, "(objectClass=device)", ldap3.LEVEL, paged_size=7)
+        assert len({page["dn"] for page in pages}) == 20
+        assert desk.extend.standard.who_am_i() == f"dn:{DESK_DN}"
+        desk.unbind()
+
+
+def test_binds_are_checked(daemon):
+    with world(daemon) as place:
+        assert not ldap3_connection(place, password="wrong").bind()
+        assert not ldap3_connection(place, user="cn=nobody,dc=porting").bind()
+        assert not ldap3_connection(place, user=None, password=None, authentication=ldap3.ANONYMOUS).bind()
+        desk = Desk(place, bind=False)
+        assert desk.read().code == m.Code.INSUFFICIENT_ACCESS
+        assert run(desk.client.bind, DESK_DN, "").code == m.Code.UNWILLING
+        assert run(desk.client.request, m.BindRequest("", None, "EXTERNAL")).code == m.Code.AUTH_METHOD_NOT_SUPPORTED
+        assert run(desk.client.request, m.BindRequest(DESK_DN, b"x", version=2)).code == m.Code.PROTOCOL_ERROR
+
+
+ASYNC_CLIENT = """
+import sys, ldap3
+port, user, password, base = sys.argv[1:]
+server = ldap3.Server(f"ldap://127.0.0.1:{port}", get_info=ldap3.NONE)
+desk = ldap3.Connection(server, user, password, client_strategy=ldap3.ASYNC, auto_bind=True)
+numbers = {}
+for number in range(100):
+    entry = f"cn={number},{base}"
+    if number % 3 == 0:
+        numbers[number] = desk.modify(entry, {"description": [(ldap3.MODIFY_REPLACE, [f"v{number}"])]})
+    else:
+        numbers[number] = desk.search(entry, "(objectClass=*)", ldap3.BASE, attributes=["cn"])
+for number, message in numbers.items():
+    response, result = desk.get_response(message, timeout=20)
+    assert result["result"] == 0, (number, result)
+    if number % 3:
+        assert [found["dn"] for found in response] == [f"cn={number},{base}"], response
+desk.unbind()
+"""
+
+
+def test_100_operations_interleaved_on_one_connection(daemon):
+    with world(daemon, entries=100) as place:  # a process of its own: this client's thread keeps a core busy
+        command = [sys.executable, "-c", ASYNC_CLIENT, str(place.port), DESK_DN, DESK_PASSWORD, NUMBERS]
+        subprocess.run(command, check=True, timeout=60)
+        assert len(facts(place, "applied")) == 200 + 34
+
+
+def test_a_search_of_a_session_that_just_wrote_never_meets_a_copy_that_lacks_it(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        for name in ("r2", "r3"):
+            place.servers[name].member.lag = 1e6  # nothing more is applied there
+        for number in range(20):
+            assert desk.modify(b"v%d" % number, "requests").code == 0
+            assert shown(desk.read()) == (b"v%d" % number,)
+        for name in ("r2", "r3"):
+            assert place.clusters["requests"].behind(name) == 20
+        held(place)
+
+
+def test_reads_go_to_copies_again_once_they_have_the_write(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        desk.modify(b"v", "requests")
+        until(lambda: not any(place.clusters["requests"].behind(name) for name in ("r2", "r3")))
+        for _ in range(20):
+            assert shown(desk.read()) == (b"v",)
+        copies = [f for f in facts(place, "answered", op="search") if f["server"] in ("r2", "r3")]
+        assert len(copies) >= 15
+        held(place)
+
+
+def test_a_modify_whose_answer_was_lost_is_not_applied_twice(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        assert desk.modify(b"before").code == 0
+        place.servers["n1"].faults.lose_next = 1
+        answer = desk.modify(b"once")
+        assert answer.code == m.Code.OTHER and "may have run" in answer.diagnostic
+        assert len(facts(place, "applied", tag="desk/2")) == 1
+        assert len(facts(place, "received", tag="desk/2")) == 1
+        held(place)
+
+
+def test_a_read_whose_answer_breaks_off_goes_elsewhere(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        desk.read("numbers", "bounded", staleness=0.8)
+        place.servers["n2"].faults.reset_next = place.servers["n3"].faults.reset_next = 1
+        for _ in range(6):
+            assert desk.read("numbers", "bounded", staleness=0.8).code == 0
+        assert facts(place, "reset_mid_answer")
+        held(place)
+
+
+def test_garbage_from_a_server_harms_one_connection_only(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        place.servers["n2"].faults.garbage_next = place.servers["n3"].faults.garbage_next = 1
+        for _ in range(10):
+            assert desk.read("numbers", "bounded", staleness=0.8).code == 0
+        assert facts(place, "garbage")
+        held(place)
+
+
+def test_a_hung_primary_is_left_and_its_writes_end_failed(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        assert desk.modify().code == 0
+        run(place.servers["n1"].hang)
+        answers = run(
+            lambda: gatherResults([desk.ask(m.ModifyRequest(f"cn=1,{NUMBERS}", ((2, "description", (b"x",)),)))
+                                   for _ in range(3)])
+        )  # fmt: skip
+        assert {answer.code for answer in answers} <= {m.Code.OTHER, m.Code.BUSY}
+        until(lambda: place.clusters["numbers"].primary not in (None, "n1"))
+        run(place.tell_primaries)
+        codes = [desk.modify().code for _ in range(3)]
+        assert codes[-1] == 0
+        run(place.servers["n1"].unhang)
+        assert desk.modify().code == 0
+        held(place)
+
+
+def test_nothing_new_goes_to_a_draining_copy(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        for _ in range(10):
+            desk.read("numbers", "bounded", staleness=0.8)
+        run(place.tell, n2="draining", n3="draining")
+        desk.world.record({"kind": "mark"})
+        answers = [desk.read("numbers", "bounded", staleness=0.8).code for _ in range(30)]
+        assert answers == [0] * 30
+        last = [f["server"] for f in facts(place, "answered", op="search")][-20:]
+        assert set(last) == {"n1"}
+        held(place)
+
+
+def test_full_servers_are_answered_for_with_busy(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        assert desk.modify().code == 0
+        for name in ("n1", "n2", "n3"):
+            place.servers[name].faults.full = True
+        assert desk.modify().code == m.Code.BUSY
+        assert "try again" in desk.read("numbers", "bounded", staleness=0.8).diagnostic
+        held(place)
+
+
+def test_abandon_and_cancel(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        desk.modify()
+        for server in place.servers.values():
+            server.faults.hang = True
+
+        def cancel():
+            first = desk.client.request(m.SearchRequest(f"cn=0,{REQUESTS}", 0, m.Present("cn")))
+            target = desk.client._end._next
+            value = tlv(0x30, integer(target))
+            return gatherResults([first, desk.client.request(m.ExtendedRequest(m.Oid.CANCEL, value))])
+
+        canceled, done = run(cancel)
+        assert (canceled.code, done.code) == (m.Code.CANCELED, 0)
+        again = run(lambda: desk.client.request(m.ExtendedRequest(m.Oid.CANCEL, tlv(0x30, integer(9999)))))
+        assert again.code == m.Code.NO_SUCH_OPERATION
+
+        def abandon():
+            desk.client.request(m.SearchRequest(f"cn=0,{REQUESTS}", 0, m.Present("cn")))
+            desk.client.transport.write(desk.client._end.abandon(desk.client._end._next))
+            return desk.client.request(m.ExtendedRequest(m.Oid.WHO_AM_I))
+
+        assert run(abandon).result.value == f"dn:{DESK_DN}".encode()
+        for server in place.servers.values():
+            server.faults.hang = False
+
+
+def test_extensions_controls_and_the_root_are_answered_honestly(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        tls = run(desk.client.request, m.ExtendedRequest(m.Oid.START_TLS))
+        assert tls.code == m.Code.PROTOCOL_ERROR and tls.result.oid == m.Oid.START_TLS
+        assert run(desk.client.request, m.ExtendedRequest("1.2.3")).code == m.Code.PROTOCOL_ERROR
+        search = m.SearchRequest(f"cn=0,{NUMBERS}", 0, m.Present("cn"))
+        critical = run(desk.client.request, search, (m.Control("1.2.3", True),))
+        assert critical.code == m.Code.UNAVAILABLE_CRITICAL_EXTENSION
+        assert run(desk.client.request, search, (m.Control("1.2.3", False),)).code == 0
+        borrowed = m.Control(m.Oid.PROXIED_AUTHORIZATION, False, b"dn:cn=admin")
+        assert run(desk.client.request, search, (borrowed,)).code == m.Code.INSUFFICIENT_ACCESS
+        root = run(desk.client.request, m.SearchRequest("", 0, m.Present("objectClass")))
+        assert shown(root, "namingContexts") == (NUMBERS.encode(), REQUESTS.encode())
+        outside = run(desk.client.request, m.SearchRequest("dc=elsewhere", 0, m.Present("cn")))
+        assert outside.code == m.Code.NO_SUCH_OBJECT
+
+
+def test_a_clients_own_post_read_control_is_answered_as_it_asked(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        value = tlv(0x30, tlv(4, b"description"))
+        answer = desk.get(
+            m.ModifyRequest(f"cn=0,{NUMBERS}", ((2, "description", (b"seen",)),)),
+            controls=(m.Control(m.Oid.POST_READ, True, value),),
+        )
+        (control,) = answer.controls
+        assert b"seen" in control.value and b"entryCSN" not in control.value
+
+
+def test_a_message_id_in_use_ends_the_connection_with_a_notice(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        desk.modify()
+        for server in place.servers.values():
+            server.faults.hang = True
+
+        def twice():
+            desk.client.request(m.SearchRequest(f"cn=0,{REQUESTS}", 0, m.Present("cn")))
+            desk.client._end._next -= 1
+            desk.client._end._asked.clear()
+            desk.client.request(m.SearchRequest(f"cn=0,{REQUESTS}", 0, m.Present("cn")))
+
+        run(twice)
+        until(lambda: desk.client.gone)
+        assert "in use" in desk.client.reason
+        for server in place.servers.values():
+            server.faults.hang = False
+
+
+def test_a_client_that_leaves_is_owed_nothing_and_harms_nobody(daemon):
+    with world(daemon) as place:
+        leaving, staying = Desk(place, "leaving"), Desk(place, "staying")
+
+        def leave():
+            leaving.ask(m.ModifyRequest(f"cn=1,{NUMBERS}", ((2, "description", (b"x",)),)))
+            leaving.client.leave()
+
+        run(leave)
+        assert staying.modify().code == 0
+        held(place)
+
+
+def test_stop_answers_all_that_was_taken(daemon):
+    with world(daemon, extra='limits {\n  stop_grace = "300ms"\n}') as place:
+        desk = Desk(place)
+        assert desk.modify().code == 0
+        for server in place.servers.values():
+            server.faults.hang = True
+        waiting = run(lambda: [[
+            desk.ask(m.ModifyRequest(f"cn=1,{NUMBERS}", ((2, "description", (b"x",)),))),
+            desk.ask(m.SearchRequest(f"cn=1,{NUMBERS}", 0, m.Present("cn")), "bounded", staleness=0.8),
+        ]])[0]  # fmt: skip
+        until(lambda: facts(place, "received", tag="desk/2"))
+        run(place.stop_gateway)
+        codes = [run(lambda one=one: one).code for one in waiting]
+        assert codes == [m.Code.OTHER, m.Code.BUSY]  # the write may have run; the read can be tried again
+        until(lambda: desk.client.gone)
+        held(place)
--- a/yardbank/lab/world.py
+++ b/yardbank/lab/world.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import subprocess
 import sys
 import tempfile
 import time
@@ -13,7 +14,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred, succeed
-from twisted.internet.protocol import ProcessProtocol
+from twisted.internet.threads import deferToThread
 
 from yardbank.config import load_text
 from yardbank.ldap import messages as m
@@ -107,18 +108,9 @@
             self._file = None
 
 
-class _Daemon(ProcessProtocol):
-    def __init__(self, log: Path) -> None:
-        self._log = log.open("ab")
-        self.ended: Deferred[None] = Deferred()
-
-    def errReceived(self, data: bytes) -> None:
-        self._log.write(data)
-        self._log.flush()
-
-    def processEnded(self, reason: Any) -> None:
-        self._log.close()
-        self.ended.callback(None)
+def _device(number: int, suffix: str) -> m.AddRequest:
+    attributes = (("objectClass", (b"device",)), ("cn", (b"%d" % number,)), ("description", (b"new",)))
+    return m.AddRequest(f"cn={number},{suffix}", attributes)
 
 
 class World:
@@ -157,8 +149,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="yardbank-"))
         self.port = 0
         self.proxy: Proxy | None = None
-        self._process: Any = None
-        self._daemon: _Daemon | None = None
+        self._process: subprocess.Popen[bytes] | None = None
         self._runs = 0
         load_text(self.settings().replace("port = 0", "port = 1"))  # the parser builds its tables at first use
 
@@ -168,7 +159,7 @@
             suffix = GROUPS[group]
             cluster.load(
                 [
-                    m.AddRequest(f"cn={number},{suffix}", (("objectClass", (b"device",)), ("description", (b"new",))))
+                    _device(number, suffix)
                     for number in range(entries)
                 ]
             )
@@ -210,7 +201,7 @@
             self.proxy.reload(load_text(self.settings()))
         elif self._process is not None:
             self._write_settings()
-            self._process.signalProcess("HUP")
+            self._process.send_signal(signal.SIGHUP)
 
     def tell_primaries(self) -> None:
         """The list follows an election."""
@@ -237,10 +228,10 @@
             self.proxy.start()
             return succeed(None)
         self._write_settings()
-        self._daemon = _Daemon(self.folder / "gateway.log")
         command = [sys.executable, "-m", "yardbank", "serve", str(self.folder / "gateway.hcl")]
         command += ["--record", str(self.folder / f"gateway-{self._runs}.jsonl")]
-        self._process = self.reactor.spawnProcess(self._daemon, command[0], command, env=None)
+        with (self.folder / "gateway.log").open("ab") as log:
+            self._process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=log, stderr=log)
         return self._until_listening(time.monotonic() + 20)
 
     def _until_listening(self, until: float) -> Deferred[Any]:
@@ -262,18 +253,24 @@
             self.proxy.kill()
             self.proxy = None
             return succeed(None)
-        assert self._daemon is not None
-        os.kill(self._process.pid, signal.SIGKILL)
-        return self._daemon.ended
+        assert self._process is not None
+        self._process.kill()
+        return self._ended()
+
+    def _ended(self) -> Deferred[Any]:
+        assert self._process is not None
+        process, self._process = self._process, None
+        return deferToThread(process.wait)
 
     def stop_gateway(self) -> Deferred[Any]:
         """Drain and stop it."""
         if self.proxy is not None:
             proxy, self.proxy = self.proxy, None
             return proxy.stop()
-        assert self._daemon is not None
-        self._process.signalProcess("TERM")
-        return self._daemon.ended
+        if self._process is None:
+            return succeed(None)
+        self._process.terminate()
+        return self._ended()
 
     def close(self) -> None:
         """Stop the stand-ins; take the record of the gateway's processes in."""
--- a/yardbank/ldap/front.py
+++ b/yardbank/ldap/front.py
@@ -130,7 +130,8 @@
 
     def pauseProducing(self) -> None:
         """The client does not read: take nothing more from it."""
-        self._unread = 0
+        if self._unread is None:  # the transport says so again at each write
+            self._unread = 0
         if self.transport is not None:
             self.transport.pauseProducing()
 
