--- /dev/null
+++ b/benchmarks/common.py
@@ -0,0 +1,56 @@
+"""Medians, machine facts, and tables kept under docs/measurements."""
+
+from __future__ import annotations
+
+import os
+import platform
+import statistics
+import subprocess
+from collections.abc import Callable
+from datetime import UTC, datetime
+from importlib.metadata import version
+from pathlib import Path
+from time import perf_counter
+
+KEPT = Path(__file__).parent.parent / "docs" / "measurements"
+
+
+def machine() -> str:
+    """What the figures were taken on."""
+    model = "unknown processor"
+    for line in Path("/proc/cpuinfo").read_text().splitlines():
+        if line.startswith("model name"):
+            model = line.partition(":")[2].strip()
+            break
+    return f"{model}, {os.cpu_count()} cores, Python {platform.python_version()}, Twisted {version('Twisted')}"
+
+
+def per_second(work: Callable[[], object], seconds: float = 0.3, runs: int = 5) -> float:
+    """Calls a second: the median of several runs."""
+    found = []
+    for _ in range(runs):
+        count, began = 0, perf_counter()
+        while (took := perf_counter() - began) < seconds:
+            for _ in range(50):
+                work()
+            count += 50
+        found.append(count / took)
+    return statistics.median(found)
+
+
+def table(title: str, head: list[str], rows: list[list[str]], notes: list[str]) -> str:
+    """A section in Markdown."""
+    lines = [f"## {title}", "", "| " + " | ".join(head) + " |", "|" + " --- |" * len(head)]
+    lines += ["| " + " | ".join(row) + " |" for row in rows]
+    return "\n".join([*lines, "", *notes, ""])
+
+
+def keep(name: str, title: str, sections: list[str]) -> Path:
+    """Write a page of figures."""
+    commit = subprocess.run(["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=False)
+    KEPT.mkdir(parents=True, exist_ok=True)
+    path = KEPT / f"{name}.md"
+    head = f"# {title}\n\n{datetime.now(UTC):%Y-%m-%d}, on {commit.stdout.strip()}; {machine()}.\n"
+    path.write_text("\n".join([head, *sections]))
+    print("\n".join([head, *sections]))
+    return path
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -551,3 +551,16 @@
     world.feed(ServerList("full", (Member(1, "a", 0, True, "ready"),)))
     world.ask("back", "commit")
     assert sent(world) == [1]  # it drained, left the list, and came back
+
+
+def test_a_large_group_is_looked_at_in_part_and_in_whole_where_the_part_will_not_do():
+    members = [Member(n, "a", 0, n == 0, "ready") for n in range(200)]
+    world = World(members, reports="answers")
+    for server in range(1, 200):  # all but one lag far behind
+        world.known(server, lag=0 if server == 77 else 60 * SECOND)
+    for number in range(20):
+        world.ask(f"r{number}", "lookup")
+        (send,) = world.of(Send)
+        assert send.server == 77  # never the primary, though hardly any look finds the one
+        world.end(f"r{number}", 77, after=MS)
+        world.known(77, after=MS)
--- a/yardbank/ldap/ber.py
+++ b/yardbank/ldap/ber.py
@@ -13,11 +13,15 @@
     """The bytes are not an encoding that LDAP allows; the text names the field."""
 
 
+_HEADS = [[bytes((tag, size)) for size in range(0x80)] for tag in range(0x100)]  # of short elements, made once
+OCTET_HEADS, SET_HEADS, SEQUENCE_HEADS = _HEADS[OCTETS], _HEADS[SET], _HEADS[SEQUENCE]
+
+
 def tlv(tag: int, content: bytes) -> bytes:
     """One element: tag, shortest definite length, content."""
     size = len(content)
     if size < 0x80:
-        return bytes((tag, size)) + content
+        return _HEADS[tag][size] + content
     width = (size.bit_length() + 7) >> 3
     return bytes((tag, 0x80 | width)) + size.to_bytes(width, "big") + content
 
@@ -25,7 +29,7 @@
 def integer(value: int, tag: int = INTEGER) -> bytes:
     """A signed integer in the fewest octets."""
     if 0 <= value < 0x80:
-        return bytes((tag, 1, value))
+        return _HEADS[tag][1] + _HEADS[value][0][:1]
     return tlv(tag, value.to_bytes((value if value >= 0 else ~value).bit_length() // 8 + 1, "big", signed=True))
 
 
@@ -63,6 +67,10 @@
 
 def expect(data: bytes, at: int, end: int, tag: int, name: str) -> tuple[int, int]:
     """The content's bounds of an element that must have a tag; errors name the field."""
+    if at + 2 <= end and data[at] == tag:  # the short form, read in place: most elements take it
+        size = data[at + 1]
+        if size < 0x80 and at + 2 + size <= end:
+            return at + 2, at + 2 + size
     if at >= end:
         raise BerError(f"{name}: missing")
     try:
@@ -76,6 +84,8 @@
 
 def read_integer(data: bytes, start: int, stop: int, name: str, low: int = 0, high: int = 0x7FFFFFFF) -> int:
     """An integer between bounds; by default LDAP's ``0 .. maxInt``."""
+    if stop - start == 1 and data[start] < 0x80 and low <= data[start] <= high:
+        return data[start]
     if not 1 <= stop - start <= 8:
         raise BerError(f"{name}: integer of {stop - start} octets")
     value = int.from_bytes(data[start:stop], "big", signed=True)
--- a/yardbank/ldap/codec.py
+++ b/yardbank/ldap/codec.py
@@ -11,9 +11,12 @@
     BOOLEAN,
     ENUMERATED,
     INTEGER,
+    OCTET_HEADS,
     OCTETS,
     SEQUENCE,
+    SEQUENCE_HEADS,
     SET,
+    SET_HEADS,
     BerError,
     boolean,
     expect,
@@ -261,7 +264,22 @@
 
 
 def _write_attribute(kind: str, values: tuple[bytes, ...]) -> bytes:
-    return tlv(SEQUENCE, tlv(OCTETS, kind.encode()) + tlv(SET, b"".join([tlv(OCTETS, value) for value in values])))
+    name = kind.encode()
+    if len(values) == 1:  # short ones are put together in place: an entry is mostly these
+        (value,) = values
+        held, named = len(value) + 2, len(name) + 2
+        if held + named < 0x7E:
+            return b"".join(
+                (
+                    SEQUENCE_HEADS[named + held + 2],
+                    OCTET_HEADS[named - 2],
+                    name,
+                    SET_HEADS[held],
+                    OCTET_HEADS[held - 2],
+                    value,
+                )
+            )
+    return tlv(SEQUENCE, tlv(OCTETS, name) + tlv(SET, b"".join([tlv(OCTETS, value) for value in values])))
 
 
 def write_attributes(attributes: m.Attributes) -> bytes:
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -8,6 +8,7 @@
 
 import random
 from collections import OrderedDict, defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from math import exp
 
@@ -24,6 +25,7 @@
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
 ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
 IDLE, SCARCE = 30 * SECOND, 5 * SECOND  # a connection may idle so long; none, so long after one was refused
+LOOK = 16  # members looked at for one read, where a group has more
 LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
 
 
@@ -242,9 +244,11 @@
         limit = server.limit if alone or not server.is_primary() else server.limit / 2
         if len(server.waiting) >= max(1.0, limit * warmth) or self.now < server.rest_until:
             return False
+        if warmth >= 1.0:  # the usual case; looking up a place costs a walk over the group
+            return True
         size = 1 if alone else self.most[server.group]
         place = held.lot + self.groups[server.group].index(server) / size
-        return warmth >= 1.0 or place % 1.0 < warmth / size
+        return place % 1.0 < warmth / size
 
     def pick(self, held: Held) -> Server | None:
         """The server for the next attempt, or none for now."""
@@ -253,6 +257,14 @@
         if held.kind.read == "write" or held.kind.read == "fresh":
             fit = primary and primary.id not in held.tried and self.has_room(primary, held)
             return primary if fit else None
+        if len(members) > LOOK:  # a walk over hundreds costs more than it finds, unless none of a few will do
+            server = self.pick_read(held, primary, self.random.sample(members, LOOK))
+            if server is not None and server is not primary:
+                return server
+        return self.pick_read(held, primary, members)
+
+    def pick_read(self, held: Held, primary: Server | None, members: Sequence[Server]) -> Server | None:
+        """The server for a read's next attempt among some members of its group."""
         need = self.needed(held, self.now)
         free = [s for s in members if not s.drained and s.id not in held.tried]
         able = [s for s in free if s is primary or self.recent_enough(s, need)]
