--- a/yardbank/daemon/worker.py
+++ b/yardbank/daemon/worker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import signal
 import time
@@ -31,6 +32,7 @@
     from twisted.internet import reactor as installed
 
     reactor: Any = installed
+    gc.set_threshold(20_000, 20, 20)  # requests are short-lived: a sweep at each 700 objects costs a tenth
     reactor.seconds = time.monotonic  # timers must not move when the wall clock is set
     if worker is not None:
         log = log.bind(worker=worker)
--- a/yardbank/gateway/api.py
+++ b/yardbank/gateway/api.py
@@ -47,7 +47,7 @@
                 raise ValueError(f"limits.{name} must be positive")
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Reply:
     """The last part of a server's answer to one attempt.
 
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 import time
 from collections import deque
@@ -68,7 +69,9 @@
         router: Callable[[api.Settings], Router] = Router,
     ) -> None:
         self.settings, self.limits = settings, limits or Limits()
-        self.log = log or structlog.get_logger()
+        self.log = (log or structlog.get_logger()).bind()  # bound once: a lazy logger is made anew at each line
+        enabled = getattr(self.log, "is_enabled_for", None)
+        self._explains = enabled is None or enabled(logging.DEBUG)
         self._backend, self._reactor, self._wall = backend, reactor, wall
         self._clock = SteadyClock(seconds)
         self._record, self._log_answers = record, log_answers
@@ -323,6 +326,8 @@
                 pass  # the list comes by itself
 
     def _reason(self, action: api.Action, cause: api.Event, request: _Open, **more: Any) -> None:
+        if not self._explains:
+            return
         why = f"{type(cause).__name__}:{cause.status}" if isinstance(cause, api.Outcome) else type(cause).__name__
         self.log.debug(
             "decision",
@@ -419,7 +424,8 @@
             request.may_have_run = True
         if self._record:
             self._note("attempt_end", id=request.id, attempt=number, server=name, status=status)
-        self.log.debug("attempt_end", request=request.id, attempt=number, server=name, status=status, reason=reason)
+        if self._explains:
+            self.log.debug("attempt_end", request=request.id, attempt=number, server=name, status=status, reason=reason)
         if request.ended:
             pass
         elif status == "ok" and request.answering in (None, number):
--- a/yardbank/gateway/pool.py
+++ b/yardbank/gateway/pool.py
@@ -22,7 +22,7 @@
     retired: bool = False  # takes nothing new; closed once nothing is outstanding
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Place:
     """Where an attempt goes: a connection there is, or one to be opened; None of both: no room."""
 
--- a/yardbank/ldap/classify.py
+++ b/yardbank/ldap/classify.py
@@ -33,7 +33,7 @@
         return len(self.identities) > 0, depth, len(self.attributes) > 0, len(self.scopes) > 0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Placed:
     """Where an operation belongs; ``group`` None: under no group's suffix, or above several."""
 
@@ -74,6 +74,7 @@
     ) -> None:
         self._rules = rules
         self._suffixes = sorted(((suffix, name) for name, suffix in suffixes.items()), key=lambda s: -len(s[0]))
+        self._by_attribute = any(rule.attributes for rule in rules)
         self._strict = {True: strict_read, False: strict_write}
 
     def group_of(self, entry: str) -> str | None:
@@ -86,10 +87,12 @@
         name, group = operation_name(operation), self.group_of(entry)
         scope, attributes = -1, frozenset[str]()
         if isinstance(operation, m.SearchRequest):
-            scope, attributes = operation.scope, filters.attributes_of(operation.filter)
-            below = any(suffix != entry and filters.under(suffix, entry) for suffix, _ in self._suffixes)
-            if group is None and below and scope != m.Scope.BASE and len(self._suffixes) == 1:
-                group = self._suffixes[0][1]
+            scope = operation.scope
+            if self._by_attribute:
+                attributes = filters.attributes_of(operation.filter)
+            if group is None and scope != m.Scope.BASE and len(self._suffixes) == 1:
+                suffix, only = self._suffixes[0]  # a search from above the one group there is
+                group = only if filters.under(suffix, entry) else None
         fit = [
             rule
             for rule in self._rules
@@ -101,6 +104,8 @@
         ]
         if not fit:
             return Placed(self._strict[name in READS], group, "no rule matches: the strictest class")
+        if len(fit) == 1:
+            return Placed(fit[0].class_name, group, "the one rule that matches")
         weight = max(rule.weight() for rule in fit)
         best = {rule.class_name for rule in fit if rule.weight() == weight}
         if len(best) > 1:
--- a/yardbank/ldap/codec.py
+++ b/yardbank/ldap/codec.py
@@ -33,7 +33,7 @@
 _MATCH_TAGS = {rule: tag for tag, rule in _MATCH_RULES.items()}
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Envelope:
     """A message whose operation is still bytes, so that it can be passed on unread."""
 
@@ -254,6 +254,13 @@
 def _attributes(data: bytes, at: int, end: int) -> m.Attributes:
     found = []
     while at < end:
+        stop = at + 2 + data[at + 1] if at + 6 <= end else end + 1
+        if stop <= end and data[at] == SEQUENCE and data[at + 2] == OCTETS and data[at + 1] < 0x80:
+            high = at + 4 + data[at + 3]  # all lengths short: read in place
+            if high + 2 <= stop and data[high] == SET and data[high + 1] < 0x80 and high + 2 + data[high + 1] == stop:
+                found.append((text(data, at + 4, high, "type"), _values(data, high + 2, stop)))
+                at = stop
+                continue
         start, at = expect(data, at, end, SEQUENCE, "attribute")
         low, high = expect(data, start, at, OCTETS, "type")
         first, last = expect(data, high, at, SET, "vals")
--- a/yardbank/ldap/exchange.py
+++ b/yardbank/ldap/exchange.py
@@ -17,10 +17,11 @@
 COMMIT_MARK = "entryCSN"
 _WRITES = (m.AddRequest, m.ModifyRequest, m.ModifyDNRequest, m.DeleteRequest)
 _READ_BACK = (m.AddRequest, m.ModifyRequest, m.ModifyDNRequest)  # what leaves an entry to read
+_PLAIN_SUCCESS = codec.encode_operation(m.Result(m.Tag.DONE, m.Code.SUCCESS))[2:]  # what most searches end with
 _FAULTS = frozenset((m.Code.OPERATIONS_ERROR, m.Code.UNAVAILABLE, m.Code.OTHER))
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Exchange:
     """One operation, ready to be sent any number of times."""
 
@@ -55,6 +56,8 @@
 
 def interpret(exchange: Exchange, raw: codec.Envelope) -> Reply:
     """The final answer to an attempt, in the gateway's terms. Raises ``BerError`` if it makes no sense."""
+    if raw.tag == m.Tag.DONE and raw.operation[2:] == _PLAIN_SUCCESS:
+        return Reply("ok", raw)
     result = codec.decode_operation(raw.operation)
     if not isinstance(result, m.Result):
         raise BerError("a final answer without a result")
--- a/yardbank/ldap/filters.py
+++ b/yardbank/ldap/filters.py
@@ -131,6 +131,8 @@
 
 def fold(dn: str) -> str:
     """A name in the form in which names are compared here: lower case, no spaces around separators."""
+    if " " not in dn:
+        return dn.lower()
     return _DN_SPACE.sub(r"\1", dn.strip()).lower()
 
 
--- a/yardbank/ldap/messages.py
+++ b/yardbank/ldap/messages.py
@@ -153,7 +153,7 @@
     """The client closes."""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class SearchRequest:
     """A search (section 4.5.1)."""
 
@@ -230,7 +230,7 @@
 # Responses
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Result:
     """How an operation ended (section 4.1.9); ``tag`` says which response carries it."""
 
@@ -243,7 +243,7 @@
     value: bytes | None = None  # extended response value, or a bind's server credentials
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class SearchEntry:
     """One entry found."""
 
@@ -282,7 +282,7 @@
 Operation = Request | Response
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Message:
     """An LDAPMessage; ID 0 is the server's own unsolicited one."""
 
--- a/yardbank/ldap/state.py
+++ b/yardbank/ldap/state.py
@@ -11,7 +11,7 @@
 FINAL = frozenset((m.Tag.DONE, *m.RESULT_TAGS))
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Asked:
     """A request that is owed one final answer."""
 
@@ -128,7 +128,7 @@
         self._outstanding.clear()
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Answered:
     """A response to one of our requests; ``final`` says that it was the last."""
 
