Watched lists applied whole, and what outlives the process: floors in place of lost tokens

Lists of servers arrive late, half written or wrong, and a gateway that died came back knowing nothing: a session that roams could read too early. yardbank.membership is the life of a list as a state machine without I/O (settle, read, check, hold back what looks like a mistake, apply whole, number); a thin watcher tells it what stands on disk. yardbank.state keeps the last good list and marks in LMDB; trust.py decides what counts after a restart. The module takes a restart's floors by an event of its own. A list is applied as the lines that changed.

--- a/yardbank/cli/__init__.py
+++ b/yardbank/cli/__init__.py
@@ -7,6 +7,7 @@
 from yardbank.cli.audit import audit
 from yardbank.cli.check import check
 from yardbank.cli.demo import demo
+from yardbank.cli.fleet import fleet_list, state
 from yardbank.cli.serve import serve
 from yardbank.cli.standin import standin
 
@@ -17,5 +18,5 @@
     """A database proxy that splits reads and writes across primaries and replicas."""
 
 
-for command in (serve, check, demo, standin, audit):
+for command in (serve, check, demo, standin, audit, fleet_list, state):
     main.add_command(command)
--- /dev/null
+++ b/yardbank/cli/fleet.py
@@ -0,0 +1,162 @@
+"""``yardbank list`` and ``yardbank state``."""
+
+from __future__ import annotations
+
+import os
+import sys
+from datetime import UTC, datetime
+from pathlib import Path
+
+import click
+from rich.console import Console
+from rich.table import Table
+
+from yardbank.cli.common import EXIT_FAULT, load_or_exit
+from yardbank.config import Config, build
+from yardbank.gateway.api import ServerSpec
+from yardbank.membership.change import compare, suspicion
+from yardbank.membership.document import Fleet, FleetError, read_set, render
+from yardbank.membership.watcher import read_files
+from yardbank.state.snapshot import Snapshot, SnapshotError
+from yardbank.state.store import Store, StoreError
+
+EXIT_HELD = 3
+
+FILE = click.argument("file", type=click.Path(path_type=Path))
+SETTINGS = click.option(
+    "--settings", type=click.Path(path_type=Path), required=True, help="The gateway's settings, for groups and paths."
+)
+
+
+def _read(path: Path, config: Config) -> Fleet:
+    try:
+        return read_set(read_files(path), build.fleet_groups(config))
+    except FleetError as problem:
+        for fault in problem.faults:
+            click.echo(f"yardbank: {fault}", err=True)
+    except OSError as problem:
+        click.echo(f"yardbank: {path}: {problem.strerror or problem}", err=True)
+    sys.exit(EXIT_FAULT)
+
+
+def _in_force(settings: Path, config: Config) -> tuple[ServerSpec, ...]:
+    if config.membership is None:
+        return build.servers(config)
+    return _read(settings.parent / config.membership.path, config).servers
+
+
+@click.group(name="list")
+def fleet_list() -> None:
+    """The list of servers: check it, compare it, put it in place."""
+
+
+@fleet_list.command()
+@FILE
+@SETTINGS
+def check(file: Path, settings: Path) -> None:
+    """Check a list FILE, or a directory of parts; exit code 2 names each fault."""
+    fleet = _read(file, load_or_exit(settings))
+    click.echo(f"{file}: fine. {len(fleet.servers)} servers, digest {fleet.digest}.")
+
+
+@fleet_list.command()
+@FILE
+@SETTINGS
+def show(file: Path, settings: Path) -> None:
+    """Show the servers of a list."""
+    table = Table()
+    for column in ("server", "group", "zone", "address", "role", "state", "weight"):
+        table.add_column(column)
+    for s in _read(file, load_or_exit(settings)).servers:
+        role = "primary" if s.primary else "copy"
+        table.add_row(s.name, s.group, s.zone, f"{s.host}:{s.port}", role, s.state, f"{s.weight:g}")
+    Console(width=120).print(table)
+
+
+@fleet_list.command()
+@FILE
+@SETTINGS
+def diff(file: Path, settings: Path) -> None:
+    """What FILE would change of the list in force; exit code 3 if it would be held back."""
+    config = load_or_exit(settings)
+    _tell(_in_force(settings, config), _read(file, config))
+
+
+def _tell(old: tuple[ServerSpec, ...], fleet: Fleet) -> None:
+    change = compare(old, fleet.servers)
+    click.echo("\n".join(change.lines()) or "no change")
+    if reason := suspicion(old, fleet.servers):
+        click.echo(f"would be held back: {reason}")
+        sys.exit(EXIT_HELD)
+
+
+@fleet_list.command()
+@FILE
+@SETTINGS
+@click.option("--force", is_flag=True, help="Apply also what would be held back.")
+def apply(file: Path, settings: Path, force: bool) -> None:
+    """Put FILE in place of the watched list, in one step; gateways take it from there.
+
+    With --force the file says so itself (``force = true``), and gateways do not hold it back.
+    """
+    config = load_or_exit(settings)
+    if config.membership is None:
+        click.echo(f"yardbank: {settings}: no membership block: the list stands in the settings", err=True)
+        sys.exit(EXIT_FAULT)
+    target = settings.parent / config.membership.path
+    if target.is_dir():
+        click.echo(f"yardbank: {target}: a directory of parts; change its parts", err=True)
+        sys.exit(EXIT_FAULT)
+    fleet = _read(file, config)
+    old = _read(target, config).servers if target.exists() else ()
+    reason = suspicion(old, fleet.servers)
+    if reason and not force:
+        click.echo(f"yardbank: held back: {reason}; --force applies it", err=True)
+        sys.exit(EXIT_HELD)
+    part = target.with_name(f".{target.name}.new")
+    part.write_text(("force = true\n\n" if reason else "") + render(fleet.servers, fleet.set_name))
+    os.replace(part, target)
+    click.echo(f"{target}: {len(fleet.servers)} servers in place.")
+
+
+@click.group()
+def state() -> None:
+    """The durable state of a gateway."""
+
+
+def _snapshot(path: Path) -> Snapshot:
+    try:
+        store = Store(path, create=False)
+        found = store.read_only()
+        store.close()
+    except (StoreError, SnapshotError) as problem:
+        click.echo(f"yardbank: {getattr(problem, 'strerror', None) or f'{path}: {problem}'}", err=True)
+        sys.exit(EXIT_FAULT)
+    if found is None:
+        click.echo(f"yardbank: {path}: no snapshot", err=True)
+        sys.exit(EXIT_FAULT)
+    return found
+
+
+@state.command(name="show")
+@click.argument("path", type=click.Path(path_type=Path))
+def show_state(path: Path) -> None:
+    """Show what the state in directory PATH holds."""
+    found = _snapshot(path)
+    written = datetime.fromtimestamp(found.written, UTC)
+    how = "last word of a stop in good order" if found.clean else "of a running or killed gateway"
+    click.echo(f"written {written:%Y-%m-%d %H:%M:%S} UTC, list version {found.version}, {how}")
+    table = Table()
+    for column in ("server", "group", "state", "role", "marks told"):
+        table.add_column(column)
+    for s in found.servers:
+        table.add_row(s.name, s.group, s.state, "primary" if s.primary else "copy", str(s.marks or ""))
+    Console(width=140).print(table)
+
+
+@state.command()
+@click.argument("path", type=click.Path(path_type=Path))
+def verify(path: Path) -> None:
+    """Check the state in directory PATH; exit code 2 says what is wrong with it."""
+    found = _snapshot(path)
+    click.echo(f"{path}: fine. {len(found.servers)} servers, list version {found.version}.")
--- a/yardbank/config/build.py
+++ b/yardbank/config/build.py
@@ -63,6 +63,11 @@
     )
 
 
+def fleet_groups(config: Config) -> frozenset[str]:
+    """Groups that a watched list may name."""
+    return frozenset(group.name for group in config.group)
+
+
 def classifier(config: Config) -> Classifier:
     """Rules from the classes' matches."""
     rules = tuple(
--- a/yardbank/config/load.py
+++ b/yardbank/config/load.py
@@ -114,6 +114,8 @@
             if label in seen:
                 found.append(((kind, index), f'{kind} "{label}" is given twice'))
             seen.add(label)
+    if bool(config.server) == bool(config.membership):
+        found.append(((), "servers are listed here, or a membership block says where: one of both"))
     groups = {group.name for group in config.group}
     suffixes: dict[str, str] = {}
     for index, group in enumerate(config.group):
--- a/yardbank/config/schema.py
+++ b/yardbank/config/schema.py
@@ -190,13 +190,30 @@
     deadline: Duration = 5_000_000_000
 
 
+class MembershipBlock(Model):
+    """Where the list of servers is watched; relative to the settings file."""
+
+    path: Annotated[str, Field(min_length=1)]
+    settle: Duration = 20_000_000
+    patience: Duration = 2_000_000_000
+    poll: Duration = 1_000_000_000
+
+
+class StateBlock(Model):
+    """Where what outlives the process is kept; relative to the settings file."""
+
+    path: Annotated[str, Field(min_length=1)]
+
+
 class Config(Model):
     """A whole settings file."""
 
     listener: tuple[Listener, ...] = Field(min_length=1)
     backend: tuple[BackendBlock, ...] = Field(min_length=1)
     group: tuple[Group, ...] = Field(min_length=1)
-    server: tuple[Server, ...] = Field(min_length=1)
+    server: tuple[Server, ...] = ()
+    membership: MembershipBlock | None = None
+    state: StateBlock | None = None
     classes: tuple[Class, ...] = Field(alias="class", min_length=1)
     identity: tuple[Identity, ...] = ()
     gateway: GatewayBlock = GatewayBlock()
@@ -213,7 +230,7 @@
     "class": "name",
     "identity": "name",
 }
-SINGLE = ("gateway", "limits", "logging", "strict")
+SINGLE = ("gateway", "limits", "logging", "strict", "membership", "state")
 
 
 def match_key(match: Match, operation: str) -> tuple[Any, ...]:
--- a/yardbank/daemon/worker.py
+++ b/yardbank/daemon/worker.py
@@ -36,7 +36,15 @@
     reactor.seconds = time.monotonic  # timers must not move when the wall clock is set
     if worker is not None:
         log = log.bind(worker=worker)
-    proxy = Proxy(config, reactor, workers=workers, log=log, record=Recorder(record, "gateway") if record else None)
+    proxy = Proxy(
+        config,
+        reactor,
+        workers=workers,
+        log=log,
+        record=Recorder(record, "gateway") if record else None,
+        folder=file.parent,
+        worker=worker or 0,
+    )
     proxy.start()
 
     def drain(number: int, frame: Any) -> None:
--- /dev/null
+++ b/yardbank/fleet.py
@@ -0,0 +1,130 @@
+"""Keeps one gateway's list by its watched files and its durable state: carries out what both deciders say."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from time import time
+from typing import Any
+
+from yardbank.config import Config, build
+from yardbank.gateway.api import ServerSpec
+from yardbank.gateway.gateway import Gateway
+from yardbank.membership.document import Fleet
+from yardbank.membership.life import Action, Apply, Hold, Membership, Reject
+from yardbank.membership.watcher import Watcher
+from yardbank.state.snapshot import GroupState, ServerState, Snapshot
+from yardbank.state.store import Store, StoreError
+from yardbank.state.trust import judge
+
+
+class FleetKeeper:
+    """The list of one gateway, from start to stop."""
+
+    def __init__(
+        self,
+        config: Config,
+        gateway: Gateway,
+        reactor: Any,
+        folder: Path,
+        worker: int,
+        log: Any,
+        wall: Callable[[], float] = time,
+    ) -> None:
+        assert config.membership is not None
+        self._gateway, self._log, self._wall = gateway, log, wall
+        block = config.membership
+        self.membership = Membership(build.fleet_groups(config), block.settle, block.patience)
+        self.watcher = Watcher(
+            folder / block.path,
+            self.membership,
+            self._act,
+            reactor=reactor,
+            now=gateway.now,
+            log=log,
+            every=block.poll / 1e9,
+        )
+        self._store: Store | None = None
+        if config.state is not None:
+            self._restore(folder / config.state.path / f"worker-{worker}")
+
+    def start(self) -> None:
+        """Watch."""
+        self.watcher.start()
+
+    def look(self) -> None:
+        """Look at the files now."""
+        self.watcher.look()
+
+    def stop(self, clean: bool) -> None:
+        """Watch no longer; ``clean``: every request was answered, and what is written now is the last word."""
+        self.watcher.stop()
+        if clean:
+            self._write(clean=True)
+        if self._store is not None:
+            self._store.close()
+            self._store = None
+
+    def _restore(self, path: Path) -> None:
+        snapshot, fault = None, ""
+        try:
+            self._store = Store(path)
+        except StoreError as problem:  # full, read-only, or another's: serve without, as after a crash
+            fault = str(problem.strerror)
+        else:
+            snapshot = self._store.read()
+            fault = self._store.fault
+            if snapshot is None and not fault and self._store.had_owner:
+                fault = "no snapshot is there, though a gateway ran here"
+        restart = judge(snapshot, self._wall(), fault)
+        for note in restart.notes:
+            self._log.warning("state", note=note)
+        self._log.info("restarted", fresh=restart.fresh, floor_now=restart.floor_now, list=restart.use_list)
+        self._gateway.restarted(restart.floor_now, restart.floors)
+        if snapshot is not None and restart.use_list:
+            fleet = Fleet(tuple(_spec(s) for s in snapshot.servers), snapshot.digest)
+            if action := self.membership.restore(fleet, snapshot.version):
+                self._act(action)  # also marks the state as in use: it is no longer the last word
+        elif self._store is not None:
+            self._write(clean=False)
+
+    def _act(self, action: Action) -> None:
+        match action:
+            case Apply(number, fleet, change):
+                self._gateway.apply_list(fleet.servers, number)
+                self._log.info("list_version", version=number, digest=fleet.digest, change=change.lines()[:10])
+                self._write(clean=False)
+            case Reject(digest, faults):
+                for fault in faults[:20]:
+                    self._log.error("list_rejected", digest=digest, fault=fault)
+            case Hold(digest, reason):
+                self._log.error("list_held_back", digest=digest, reason=reason, force="yardbank list apply")
+
+    def _write(self, clean: bool) -> None:
+        if self._store is None:
+            return
+        heads, told = self._gateway.remember()
+        current = self.membership.current
+        servers = current.servers if current else ()
+        snapshot = Snapshot(
+            written=self._wall(),
+            version=self.membership.number,
+            digest=current.digest if current else "",
+            clean=clean,
+            servers=[_state(spec, told.get(spec.name, {})) for spec in servers],
+            groups=[GroupState(name, {k: list(v) for k, v in marks.items()}) for name, marks in heads.items()],
+        )
+        try:
+            self._store.write(snapshot)
+        except (StoreError, ValueError) as problem:
+            self._log.error("state_not_written", fault=str(problem))
+            self._store.forget()  # what stands there must not pass for the last word
+
+
+def _spec(s: ServerState) -> ServerSpec:
+    return ServerSpec(s.name, s.group, s.zone, s.host, s.port, s.primary, s.state, s.started, s.weight)
+
+
+def _state(s: ServerSpec, marks: dict[str, Any]) -> ServerState:
+    kept = {origin: list(mark) for origin, mark in marks.items()}
+    return ServerState(s.name, s.group, s.zone, s.host, s.port, s.primary, s.state, s.started, s.weight, kept)
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -9,8 +9,8 @@
 import logging
 import random
 import time
-from collections import deque
-from collections.abc import Callable, Sequence
+from collections import Counter, deque
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any
 
 import structlog
@@ -24,6 +24,7 @@
 from yardbank.gateway.link import Attempt, Way
 from yardbank.gateway.positions import Positions
 from yardbank.policy import Router
+from yardbank.timeline import Mark
 
 Record = Callable[[dict[str, Any]], None]
 
@@ -84,6 +85,9 @@
         self._specs: dict[str, ServerSpec] = {}
         self._ways: dict[int, Way] = {}
         self._started: dict[int, int] = {}
+        self._floor_now = 0
+        self._floors: Mapping[str, Mapping[str, Mark]] = {}
+        self.list_version = 0  # of the list that requests are routed by
         self._references: dict[int, list[Callable[[], None]]] = {}
         self._open: dict[str, _Open] = {}
         self._events: deque[api.Event] = deque()
@@ -120,17 +124,40 @@
         """The gateway's clock, ns."""
         return self._clock.now()
 
-    def apply_list(self, servers: Sequence[ServerSpec]) -> None:
+    def restarted(self, floor_now: bool, floors: Mapping[str, Mapping[str, Mark]]) -> None:
+        """An earlier run's tokens are lost; call before the first list. ``floors``: marks by origin, by group."""
+        self._floor_now, self._floors = self._clock.now() if floor_now else 0, dict(floors)
+
+    def remember(self) -> tuple[dict[str, dict[str, Mark]], dict[str, dict[str, Mark]]]:
+        """For the durable state: marks that cover all tokens, by group; what each server last told, by name."""
+        heads = {name: self._positions.head(number) for name, number in self._groups.items()}
+        return heads, {name: self._positions.marks(self._servers[name]) for name in self._specs}
+
+    def _new_group(self, name: str) -> int:
+        number = self._groups[name] = len(self._groups)
+        floor = self._floor_now
+        if marks := self._floors.get(name):
+            floor = max(floor, self._positions.floor(number, marks, self._clock.now()))
+        if floor:
+            self._handle(api.Restored(((number, floor),)))
+        return number
+
+    def apply_list(self, servers: Sequence[ServerSpec], version: int = 0) -> None:
         """Take the whole list of servers as it now stands. Raises ``ValueError`` if one is named twice."""
         names = [spec.name for spec in servers]
         if len(set(names)) != len(names):
-            twice = next(name for name in names if names.count(name) > 1)
+            twice = next(name for name, count in Counter(names).items() if count > 1)
             raise ValueError(f"server {twice!r} is listed twice")
         now, wall = self._clock.now(), self._wall()
         members = []
+        first = not self._specs
+        listed = set(names)
+        gone = [name for name in self._specs if name not in listed]
         for spec in servers:
+            if self._specs.get(spec.name) == spec:  # the cost follows the change, not the list
+                continue
             number = self._servers.setdefault(spec.name, len(self._servers) + 1)
-            group = self._groups.setdefault(spec.group, len(self._groups))
+            group = self._groups[spec.group] if spec.group in self._groups else self._new_group(spec.group)
             old = self._specs.get(spec.name)
             if number in self._ways and old and (old.host, old.port) != (spec.host, spec.port):
                 self._ways.pop(number).close("the server has moved")
@@ -142,12 +169,14 @@
                 started = self._started[number]  # one start stays one instant, also if the wall clock steps
             self._started[number] = started
             members.append(api.Member(number, spec.zone, group, spec.primary, spec.state, started))
-        first = not self._specs
-        gone = [name for name in self._specs if name not in names]
+        for name in gone:
+            was, number = self._specs[name], self._servers[name]
+            members.append(api.Member(number, was.zone, self._groups[was.group], False, "gone"))
         self._specs = {spec.name: spec for spec in servers}
-        self._note("list", servers={spec.name: spec.state for spec in servers})
-        self.log.info("list_applied", servers=len(servers), gone=gone)
-        self._handle(api.ServerList("saved" if first else "full", tuple(members)))
+        self.list_version = version
+        self._note("list", version=version, servers={spec.name: spec.state for spec in servers})
+        self.log.info("list_applied", servers=len(servers), changed=len(members), gone=gone[:20])
+        self._handle(api.ServerList("saved" if first else "delta", tuple(members)))
         for name in gone:  # what is out there may still be answered; nothing new goes there
             number = self._servers[name]
             self._positions.dropped(number)
@@ -164,7 +193,7 @@
         self._open[number] = request
         self._owed += 1
         if self._record:
-            self._note("taken", id=number, request_class=kind.name, **call.facts)
+            self._note("taken", id=number, request_class=kind.name, list=self.list_version, **call.facts)
         if self.stopping or self._owed > self.limits.max_open:
             reason = "the gateway is stopping" if self.stopping else "too many requests are open"
             if not self.stopping and now - self._full_logged_at > SECOND:
--- a/yardbank/gateway/positions.py
+++ b/yardbank/gateway/positions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 from yardbank.gateway.api import Position
 from yardbank.interface import Report
 from yardbank.timeline import Mark, References, Timeline
@@ -14,6 +16,7 @@
         self._timelines: dict[int, Timeline] = {}
         self._references: dict[int, References] = {}
         self._group: dict[int, int] = {}
+        self._marks: dict[int, dict[str, Mark]] = {}  # what each server last told
 
     def listed(self, server: int, group: int, primary: bool, now: int) -> None:
         """The list names a server; its word on the role counts until the server's own."""
@@ -44,6 +47,7 @@
 
     def told(self, server: int, position: Position, sent_at: int) -> None:
         """A server told its marks and role, asked at ``sent_at``: a primary's place the log's head."""
+        self._marks[server] = dict(position.marks)
         if position.primary is not None:
             self.role(server, position.primary, sent_at)
         if position.primary:
@@ -55,6 +59,18 @@
             return Report(sent_at, True)
         return Report(self._of(self._group[server]).position(position.marks), position.primary)
 
+    def marks(self, server: int) -> dict[str, Mark]:
+        """The marks that a server last told."""
+        return self._marks.get(server, {})
+
+    def head(self, group: int) -> dict[str, Mark]:
+        """Marks that cover every token given out in a group."""
+        return self._of(group).head_vector()
+
+    def floor(self, group: int, marks: Mapping[str, Mark], now: int) -> int:
+        """The token of a session that wrote, in an earlier run, no later than these marks."""
+        return max((self._of(group).commit(origin, mark, now) for origin, mark in sorted(marks.items())), default=0)
+
     def _of(self, group: int) -> Timeline:
         if group not in self._timelines:
             self._timelines[group], self._references[group] = Timeline(), References()
--- a/yardbank/interface.py
+++ b/yardbank/interface.py
@@ -118,6 +118,13 @@
     members: tuple[Member, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class Restored:
+    """An earlier run's tokens are lost: every session's token in a group is at least its floor."""
+
+    floors: tuple[tuple[int, int], ...]  # group, position
+
+
 @dataclass(slots=True, frozen=True)
 class Request:
     """A client's request; exactly one final answer is owed by ``expires``."""
@@ -239,5 +246,5 @@
     """Ask for the server list and its changes."""
 
 
-Event = ServerList | Request | Outcome | Probed | Started | Gone | Timer
+Event = ServerList | Restored | Request | Outcome | Probed | Started | Gone | Timer
 Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | SetTimer | Subscribe
--- /dev/null
+++ b/yardbank/membership/document.py
@@ -0,0 +1,171 @@
+"""A set of list files as one checked value. No I/O: texts come in, a ``Fleet`` or faults go out.
+
+A set is one file or several parts: ``server`` blocks, ``weights`` blocks that name servers, and in any part
+``set = "..."``, which all parts that carry it must agree on, and ``count = N``, the servers of that file.
+Groups are the settings' own.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+import xxhash
+from pydantic import ValidationError
+
+from yardbank.config.hcl import Body, HclError
+from yardbank.config.schema import Server
+from yardbank.gateway.api import ServerSpec
+from yardbank.membership.blocks import BlockCache
+
+MAX_SERVERS = 20_000
+
+
+class FleetError(ValueError):
+    """A set that cannot be used; ``faults`` are lines that name file and line."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("\n".join(faults))
+        self.faults = faults
+
+
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """One complete, valid version of the list."""
+
+    servers: tuple[ServerSpec, ...]
+    digest: str
+    set_name: str = ""
+    force: bool = False  # the operator's word that a large change is meant
+
+    def by_name(self) -> dict[str, ServerSpec]:
+        """Servers by name."""
+        return {server.name: server for server in self.servers}
+
+
+def digest_of(texts: Mapping[str, bytes]) -> str:
+    """A short name of exactly these contents; the order of the files does not matter."""
+    hasher = xxhash.xxh3_128()
+    for name in sorted(texts):
+        hasher.update(f"{len(name)}:{name}:{len(texts[name])}:".encode())
+        hasher.update(texts[name])
+    return hasher.hexdigest()
+
+
+def read_set(texts: Mapping[str, bytes], groups: Iterable[str], blocks: BlockCache | None = None) -> Fleet:
+    """Read and check a set, file by file. Raises ``FleetError`` with every fault found.
+
+    ``blocks`` keeps what was read of each block, so that reading a set again costs what has changed of it.
+    """
+    blocks = blocks or BlockCache()
+    faults: list[str] = []
+    servers: dict[str, tuple[ServerSpec, str]] = {}
+    places: dict[tuple[str, int], str] = {}
+    weights: list[tuple[str, float, str]] = []
+    sets: dict[str, str] = {}
+    counts: dict[str, tuple[int, int, int]] = {}
+    force = False
+    known = set(groups)
+    if not texts:
+        raise FleetError(["the list: no file is there"])
+    for name in sorted(texts):
+        try:
+            body = blocks.parse(texts[name].decode())
+        except UnicodeDecodeError as problem:
+            faults.append(f"{name}:{texts[name][: problem.start].count(10) + 1}: not UTF-8")
+            continue
+        except HclError as problem:
+            faults.append(f"{name}:{problem.line}: {problem.reason}")
+            continue
+        for key, line in body.lines.items():
+            if key == "force" and isinstance(body.attributes[key], bool):
+                force = force or body.attributes[key]
+            elif key == "count" and type(body.attributes[key]) is int:
+                counts[name] = body.attributes[key], line, len(body.blocks.get("server", ()))
+            elif key != "set" or not isinstance(body.attributes[key], str):
+                faults.append(f"{name}:{line}: {key}: unknown key, or not a string")
+            else:
+                sets[name] = body.attributes[key]
+        for kind, found in body.blocks.items():
+            for block in found:
+                if kind == "server":
+                    _server(name, block, known, servers, places, faults)
+                elif kind == "weights" and not block.label and not block.blocks:
+                    _weights(name, block, weights, faults)
+                else:
+                    faults.append(f"{name}:{block.line}: {kind}: unknown block")
+    for name, (wanted, line, there) in counts.items():
+        if wanted != there:  # cut between two blocks, a file still reads well
+            faults.append(f"{name}:{line}: count is {wanted}, but {there} servers stand in the file")
+    if len(set(sets.values())) > 1:
+        told = ", ".join(f"{name} is of {value!r}" for name, value in sorted(sets.items()))
+        faults.append(f"the parts belong to different sets: {told}")
+    for server, weight, where in weights:
+        if server not in servers:
+            faults.append(f"{where}: weights: no server {server!r}")
+        else:
+            spec, at = servers[server]
+            servers[server] = replace(spec, weight=weight), at
+    if not servers and not faults:
+        faults.append(f"{sorted(texts)[0]}:1: the list names no server")
+    if len(servers) > MAX_SERVERS:
+        faults.append(f"the list names {len(servers)} servers, {MAX_SERVERS} allowed")
+    if faults:
+        raise FleetError(faults)
+    return Fleet(tuple(spec for spec, _ in servers.values()), digest_of(texts), next(iter(sets.values()), ""), force)
+
+
+def _server(
+    name: str,
+    block: Body,
+    groups: set[str],
+    servers: dict[str, tuple[ServerSpec, str]],
+    places: dict[tuple[str, int], str],
+    faults: list[str],
+) -> None:
+    where = f"{name}:{block.line}"
+    if block.blocks:
+        faults.append(f"{where}: server {block.label!r}: no block may stand in it")
+        return
+    try:
+        s = Server.model_validate({"name": block.label, **block.attributes})
+    except ValidationError as problem:
+        for error in problem.errors():
+            key = str(error["loc"][0]) if error["loc"] else ""
+            reason = {"extra_forbidden": "unknown key", "missing": "missing"}.get(error["type"], error["msg"])
+            faults.append(f"{name}:{block.lines.get(key, block.line)}: server {block.label!r}: {key}: {reason}")
+        return
+    if not s.name:
+        faults.append(f"{where}: a server without a name")
+    elif s.name in servers:
+        faults.append(f"{where}: server {s.name!r} is listed twice, first at {servers[s.name][1]}")
+    elif s.group not in groups:
+        faults.append(f"{where}: server {s.name!r}: no group {s.group!r}")
+    elif (other := places.get((s.address, s.port))) is not None:
+        faults.append(f"{where}: server {s.name!r} has the address of server {other!r}")
+    else:
+        places[s.address, s.port] = s.name
+        spec = ServerSpec(s.name, s.group, s.zone, s.address, s.port, s.primary, s.state, s.started, s.weight)
+        servers[s.name] = spec, where
+
+
+def _weights(name: str, block: Body, weights: list[tuple[str, float, str]], faults: list[str]) -> None:
+    for server, value in block.attributes.items():
+        where = f"{name}:{block.lines[server]}"
+        if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value <= 1e6:
+            faults.append(f"{where}: weights: {server}: a number above 0 is wanted")
+        else:
+            weights.append((server, float(value), where))
+
+
+def render(servers: Iterable[ServerSpec], set_name: str = "") -> str:
+    """A list as a file's text."""
+    servers = list(servers)
+    parts = [f"count = {len(servers)}"] + ([f'set = "{set_name}"'] if set_name else [])
+    for s in servers:
+        parts.append(
+            f'server "{s.name}" {{\n  group   = "{s.group}"\n  zone    = "{s.zone}"\n  address = "{s.host}"\n'
+            f"  port    = {s.port}\n  primary = {'true' if s.primary else 'false'}\n"
+            f'  state   = "{s.state}"\n  started = {s.started}\n  weight  = {s.weight}\n}}'
+        )
+    return "\n\n".join(parts) + "\n"
--- /dev/null
+++ b/yardbank/membership/life.py
@@ -0,0 +1,132 @@
+"""The life of a list: seen, settled, read, checked, accepted or rejected, applied, superseded. No I/O.
+
+The watcher tells what stands on disk whenever it may have changed; this decides what is applied. Nothing but
+a complete and valid version ever is, and never an older one after a newer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from yardbank.gateway.api import MS, SECOND
+from yardbank.membership.blocks import BlockCache
+from yardbank.membership.change import Change, compare, suspicion
+from yardbank.membership.document import Fleet, FleetError, digest_of, read_set
+
+SETTLE = 20 * MS  # unchanged for so long: the writer is likely to be done
+PATIENCE = 2 * SECOND  # written without a pause for so long: what stands there is read all the same
+REMEMBERED = 256  # digests of versions whose rejection was reported
+
+
+@dataclass(slots=True, frozen=True)
+class Apply:
+    """Take this version; ``number`` counts versions applied."""
+
+    number: int
+    fleet: Fleet
+    change: Change
+
+
+@dataclass(slots=True, frozen=True)
+class Reject:
+    """This content is no valid list; told once for each content."""
+
+    digest: str
+    faults: tuple[str, ...]
+
+
+@dataclass(slots=True, frozen=True)
+class Hold:
+    """A valid list that looks like a mistake waits for the operator's word; told once for each content."""
+
+    digest: str
+    reason: str
+
+
+Action = Apply | Reject | Hold
+
+
+class Membership:
+    """Decides which version of the list is in force."""
+
+    def __init__(self, groups: Iterable[str], settle: int = SETTLE, patience: int = PATIENCE) -> None:
+        self._groups = frozenset(groups)
+        self._settle, self._patience = settle, patience
+        self.number = 0
+        self.current: Fleet | None = None
+        self.held: Fleet | None = None
+        self._texts: Mapping[str, bytes] = {}
+        self._digest = ""
+        self._seen_at = 0  # when the content on disk was first seen
+        self._unsettled_at: int | None = None  # since when content comes and goes unread
+        self._judged = ""  # the content that was read last
+        self._reported: dict[str, None] = {}
+        self._blocks = BlockCache()
+
+    def restore(self, fleet: Fleet, number: int) -> Apply | None:
+        """Go on with the last good version of an earlier run, unless a newer one is in force already."""
+        if self.current is not None:
+            return None
+        self.current, self.number = fleet, number
+        return Apply(number, fleet, compare((), fleet.servers))
+
+    def seen(self, now: int, texts: Mapping[str, bytes]) -> list[Action]:
+        """The files hold these contents (``{}``: none is there). ``now`` in ns."""
+        digest = digest_of(texts)
+        if digest != self._digest:
+            self._digest, self._texts, self._seen_at = digest, dict(texts), now
+            if self._unsettled_at is None:
+                self._unsettled_at = now
+        return self.tick(now)
+
+    def due(self) -> int | None:
+        """When ``tick`` has something to do; None: not before something is seen."""
+        if self._unsettled_at is None:
+            return None
+        return min(self._seen_at + self._settle, self._unsettled_at + self._patience)
+
+    def tick(self, now: int) -> list[Action]:
+        """Read what has settled."""
+        due = self.due()
+        if due is None or now < due:
+            return []
+        self._unsettled_at = None
+        if self._digest == self._judged:
+            return []
+        self._judged = self._digest
+        return self._judge(force=False)
+
+    def force(self) -> list[Action]:
+        """The operator's word: apply what was held back."""
+        return self._judge(force=True) if self.held is not None else []
+
+    def _judge(self, force: bool) -> list[Action]:
+        if force:
+            assert self.held is not None
+            fleet = self.held
+        else:
+            self.held = None  # superseded, whatever comes of this one
+            try:
+                fleet = read_set(self._texts, self._groups, self._blocks)
+            except FleetError as problem:
+                return self._once(Reject(self._digest, tuple(problem.faults)))
+        if self.current is not None and fleet.digest == self.current.digest:
+            return []
+        old = self.current.servers if self.current else ()
+        reason = "" if force or fleet.force else suspicion(old, fleet.servers)
+        if reason:
+            self.held = fleet
+            return self._once(Hold(fleet.digest, reason))
+        self.held, self.current = None, fleet
+        self.number += 1
+        self._reported.clear()
+        return [Apply(self.number, fleet, compare(old, fleet.servers))]
+
+    def _once(self, action: Reject | Hold) -> list[Action]:
+        if action.digest in self._reported:
+            return []
+        self._reported[action.digest] = None
+        if len(self._reported) > REMEMBERED:
+            del self._reported[next(iter(self._reported))]
+        return [action]
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -135,6 +135,11 @@
                 server.role_at[True] = max(server.role_at[True], told)
             server.listed_primary, server.drained = member.primary, member.state == "draining"
 
+    def on_restored(self, event: api.Restored) -> None:
+        """A restart lost every token; floors in their place keep sessions from reading too early."""
+        for group, floor in event.floors:
+            self.floors[group] = max(floor, self.floors.get(group, 0))
+
     def learn_position(self, server: Server, position: int) -> None:
         """Positions only rise, and one beyond the clock proves nothing."""
         if position <= self.now:
--- a/yardbank/proxy.py
+++ b/yardbank/proxy.py
@@ -13,12 +13,14 @@
 import socket
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 import structlog
 from twisted.internet.defer import Deferred, maybeDeferred
 
 from yardbank.config import Config, build
+from yardbank.fleet import FleetKeeper
 from yardbank.gateway.gateway import Gateway, Record
 from yardbank.interface import Settings
 from yardbank.ldap.backend import LdapBackend
@@ -56,6 +58,8 @@
         record: Record | None = None,
         seconds: Callable[[], float] = time.monotonic,
         router: Callable[[Settings], Router] = Router,
+        folder: Path = Path(),
+        worker: int = 0,
     ) -> None:
         self.config, self._reactor, self._workers = config, reactor, workers
         self.log = log or structlog.get_logger()
@@ -74,7 +78,11 @@
             log_answers=config.logging.answers,
             router=router,
         )
-        self.gateway.apply_list(build.servers(config))
+        self._fleet: FleetKeeper | None = None
+        if config.membership is None:
+            self.gateway.apply_list(build.servers(config))
+        else:
+            self._fleet = FleetKeeper(config, self.gateway, reactor, folder, worker, self.log)
 
     def start(self) -> None:
         """Listen. Raises ``OSError`` if an address cannot be had; then nothing listens."""
@@ -86,6 +94,8 @@
             for made in sockets:
                 made.close()
             raise
+        if self._fleet is not None:
+            self._fleet.start()
         for listener, made in zip(self.config.listener, sockets, strict=True):
             options = build.front_options(self.config, listener)
             factory = LdapFrontFactory(self.gateway, build.classifier(self.config), options)
@@ -108,12 +118,17 @@
             "gateway": (old.gateway, config.gateway),
             "limits": (old.limits, config.limits),
             "group": (old.group, config.group),
+            "membership": (old.membership, config.membership),
+            "state": (old.state, config.state),
             "class times": (build.request_classes(old), build.request_classes(config)),
         }
         for name, (before, after) in fixed.items():
             if before != after:
                 raise ValueError(f"{name}: cannot change in service; restart to apply it")
-        self.gateway.apply_list(build.servers(config))
+        if self._fleet is None:
+            self.gateway.apply_list(build.servers(config))
+        else:
+            self._fleet.look()
         for listener, factory in zip(config.listener, self._factories, strict=True):
             factory.classifier = build.classifier(config)
             factory.options = build.front_options(config, listener)
@@ -125,6 +140,8 @@
             maybeDeferred(port.stopListening)
         self._ports = []
         self.gateway.kill()
+        if self._fleet is not None:
+            self._fleet.stop(clean=False)
         for factory in self._factories:
             factory.abort_all()
 
@@ -136,6 +153,8 @@
         done = self.gateway.stop(grace)
 
         def close(_: None) -> None:
+            if self._fleet is not None:
+                self._fleet.stop(clean=True)
             for factory in self._factories:
                 factory.close_all()
 
--- a/yardbank/timeline.py
+++ b/yardbank/timeline.py
@@ -59,6 +59,10 @@
         """The latest position that the log is known to have reached; 0: nothing is known."""
         return self._links[-1].high if self._links else 0
 
+    def head_vector(self) -> dict[str, Mark]:
+        """The marks of the last link; they cover every token given out."""
+        return dict(self._links[-1].vector) if self._links else {}
+
     def commit(self, origin: str, mark: Mark, sent_at: int) -> int:
         """A write sent at ``sent_at`` (ns) was committed as ``mark``: the token that its session must see."""
         links = self._links
