Classes may come with the watched list; a change of settings reaches connected clients too

A set of list files may now hold class blocks: what operations match changes in service, times do not, and a set whose classes match alike is rejected whole. A test of it showed that a front kept the classifier and options of the moment when its client connected; it now asks for them at each request. Worker logs go out one write a line: two workers' lines ran into each other. Seen: a class moved by file takes effect on the next request of an open connection; the old one was routed as before.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -400,3 +400,53 @@
     specs, chance = servers(), random.Random(1)
     chance.shuffle(specs)
     assert read_set({"l": text(*specs)}, GROUPS).by_name() == read_set({"l": text()}, GROUPS).by_name()
+
+
+CLASS = """class "port-commit" {
+  effect     = "unsafe"
+  read       = "write"
+  aim        = "500ms"
+  deadline   = "3s"
+  worth      = 3
+  late_worth = 0.7
+  match {
+    operation = ["modify"]
+    base      = "ou=elsewhere,dc=porting"
+  }
+}
+"""
+
+
+def test_classes_in_a_file_of_their_own_are_checked_with_the_rest():
+    fleet = read_set({"servers.hcl": text(), "classes.hcl": CLASS.encode()}, GROUPS)
+    assert fleet.classes[0].name == "port-commit" and fleet.classes[0].match[0].operation == ("modify",)
+    assert "aim: Field required" in faults(text(), CLASS.replace('  aim        = "500ms"\n', "").encode())
+    assert "given twice" in faults(text(), (CLASS + CLASS).encode())
+    assert "cannot be of a class" in faults(text(), CLASS.replace('["modify"]', '["search"]').encode())
+
+
+def test_a_lists_classes_change_what_new_operations_match(tmp_path):
+    from yardbank.lab.world import _CLASSES
+
+    with world(start=False) as place:
+        folder = tmp_path / "list.d"
+        folder.mkdir()
+        groups = {"n1": "numbers", "n2": "numbers", "r1": "requests", "r2": "requests"}
+        specs = [
+            ServerSpec(name, group, "norte", "127.0.0.1", place.servers[name].port, name in ("n1", "r1"))
+            for name, group in groups.items()
+        ]
+        (folder / "servers.hcl").write_text(render(specs))
+        place.watched = folder
+        run(place.start_gateway)
+        until(lambda: place.proxy.gateway.list_version == 1)
+        desk = Desk(place)
+        assert desk.read("numbers", "bounded", staleness=0.8).code == 0
+        (folder / "classes.hcl").write_text(_CLASSES.replace("ou=numbers,dc=porting", "ou=nothing,dc=porting"))
+        until(lambda: place.proxy.gateway.list_version == 2)
+        assert desk.read("numbers", "bounded", staleness=0.8).code == 0
+        taken = [f["request_class"] for f in place.record.facts if f["kind"] == "gateway_taken"]
+        assert taken == ["route-lookup", "strict-read"]
+        (folder / "classes.hcl").write_text(_CLASSES.replace("1500ms", "1700ms"))
+        until(lambda: place.proxy._fleet.membership._judged != place.proxy._fleet.membership.current.digest)
+        assert place.proxy.gateway.list_version == 2
--- a/yardbank/cli/common.py
+++ b/yardbank/cli/common.py
@@ -26,7 +26,7 @@
 
 
 def set_up_logs(level: str, form: str) -> Any:
-    """Structured logs on standard error: JSON lines or a console."""
+    """Structured logs on standard error, JSON lines or a console; one write a line, as workers share the file."""
     renderer: Any = (
         structlog.processors.JSONRenderer() if form == "json" else structlog.dev.ConsoleRenderer(colors=False)
     )
@@ -39,7 +39,7 @@
             renderer,
         ],
         wrapper_class=structlog.make_filtering_bound_logger(getattr(logging, level.upper())),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        logger_factory=structlog.WriteLoggerFactory(sys.stderr),
         cache_logger_on_first_use=False,
     )
     return structlog.get_logger()
--- a/yardbank/config/load.py
+++ b/yardbank/config/load.py
@@ -53,7 +53,7 @@
         config = Config.model_validate(plain)
     except ValidationError as problem:
         raise ConfigError([_fault(error, lines, plain, name) for error in problem.errors()]) from None
-    faults = [f"{name}:{lines.get(path, 1)}: {reason}" for path, reason in _cross_faults(config)]
+    faults = [f"{name}:{lines.get(path, 1)}: {reason}" for path, reason in cross_faults(config)]
     if faults:
         raise ConfigError(faults)
     return config
@@ -100,7 +100,7 @@
     return f"{name}:{line}: {where}{field}: {reason}" if field else f"{name}:{line}: {where}{reason}"
 
 
-def _cross_faults(config: Config) -> list[tuple[tuple[Any, ...], str]]:
+def cross_faults(config: Config) -> list[tuple[tuple[Any, ...], str]]:
     """What no single field shows: names given twice, names that lead nowhere, classes that match alike."""
     found: list[tuple[tuple[Any, ...], str]] = []
     for kind, items in (
--- a/yardbank/fleet.py
+++ b/yardbank/fleet.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from yardbank.config import Config, build
+from yardbank.config.load import cross_faults
 from yardbank.gateway.api import ServerSpec
 from yardbank.gateway.gateway import Gateway
 from yardbank.membership.document import Fleet
@@ -30,11 +31,13 @@
         worker: int,
         log: Any,
         wall: Callable[[], float] = time,
+        take_classes: Callable[[Config], None] = lambda config: None,
     ) -> None:
         assert config.membership is not None
         self._gateway, self._log, self._wall = gateway, log, wall
+        self._config, self._take_classes = config, take_classes
         block = config.membership
-        self.membership = Membership(build.fleet_groups(config), block.settle, block.patience)
+        self.membership = Membership(build.fleet_groups(config), block.settle, block.patience, self._faults_of)
         self.watcher = Watcher(
             folder / block.path,
             self.membership,
@@ -92,6 +95,7 @@
         match action:
             case Apply(number, fleet, change):
                 self._gateway.apply_list(fleet.servers, number)
+                self._take_classes(self._with_classes(fleet))
                 self._log.info("list_version", version=number, digest=fleet.digest, change=change.lines()[:10])
                 self._write(clean=False)
             case Reject(digest, faults):
@@ -100,6 +104,16 @@
             case Hold(digest, reason):
                 self._log.error("list_held_back", digest=digest, reason=reason, force="yardbank list apply")
 
+    def _with_classes(self, fleet: Fleet) -> Config:
+        return self._config.model_copy(update={"classes": fleet.classes}) if fleet.classes else self._config
+
+    def _faults_of(self, fleet: Fleet) -> list[str]:
+        """Classes of a list may match otherwise than the settings', not be others: times are the module's."""
+        config = self._with_classes(fleet)
+        if build.request_classes(config) != build.request_classes(self._config):
+            return ["the list's classes: only what they match can change in service"]
+        return [f"the list: {reason}" for _, reason in cross_faults(config)]
+
     def _write(self, clean: bool) -> None:
         if self._store is None:
             return
--- a/yardbank/lab/day.py
+++ b/yardbank/lab/day.py
@@ -61,7 +61,8 @@
         assert self.client is not None
         self.asked += 1
         tag = f"{self.label}/{self.asked}"
-        facts: dict[str, Any] = {"read": need, "session": self.label}
+        by_name = self.world.session_by == "identity"  # a session that outlives its connections
+        facts: dict[str, Any] = {"read": need, "session": self.name if by_name else self.label}
         if need == "bounded":
             facts["staleness"] = 0.8
         control = m.Control(TAG_CONTROL, False, tag.encode())
--- a/yardbank/lab/world.py
+++ b/yardbank/lab/world.py
@@ -127,10 +127,13 @@
         capacity: Capacity | None = None,
         router: Callable[..., Any] | None = None,
         extra: str = "",
+        session_by: str = "connection",
+        durable: bool = True,
     ) -> None:
         self.reactor, self.record, self.seed, self.daemon = reactor, record, seed, daemon
         self.capacity = capacity or Capacity()
         self._router, self._extra = router, extra
+        self.session_by, self.durable = session_by, durable
         self.clusters: dict[str, Cluster] = {}
         self.servers: dict[str, Standin] = {}
         self.states: dict[str, str] = {}
@@ -163,7 +166,7 @@
     def settings(self) -> str:
         """The settings file as the operator would write it now."""
         parts = [
-            f'listener "ldap" {{\n  port = {self.port}\n  session = "connection"\n}}',
+            f'listener "ldap" {{\n  port = {self.port}\n  session = "{self.session_by}"\n}}',
             f'gateway {{\n  zone = "norte"\n  gateways = 1\n  seed = {self.seed}\n'
             f'  cold = "{self.capacity.cold_s}s"\n  cold_share = {self.capacity.cold_share}\n}}',
             f'backend "ldap" {{\n  bind_dn = "{GATEWAY_DN}"\n  bind_password = "{GATEWAY_PASSWORD}"\n'
@@ -175,7 +178,8 @@
         ]
         if self.watched is not None:
             parts.append(f'membership {{\n  path = "{self.watched}"\n}}')
-            parts.append(f'state {{\n  path = "{self.watched.parent / "state"}"\n}}')
+            if self.durable:
+                parts.append(f'state {{\n  path = "{self.watched.parent / "state"}"\n}}')
         for group, members in MEMBERS.items():
             parts.append(f'group "{group}" {{\n  suffix = "{GROUPS[group]}"\n}}')
             for name, zone in members:
--- a/yardbank/ldap/front.py
+++ b/yardbank/ldap/front.py
@@ -79,7 +79,7 @@
 
     def __init__(self, factory: LdapFrontFactory, number: int) -> None:
         self.gateway = factory.gateway
-        self._factory, self._options, self._classifier = factory, factory.options, factory.classifier
+        self._factory = factory
         self._number = number
         self._end = ServerEnd(factory.options.max_message, factory.options.max_outstanding)
         self._identity = ""
@@ -88,6 +88,11 @@
         self._unread: int | None = None  # octets written since the client stopped reading; None: it reads
         self._closing = False
 
+    @property
+    def _options(self) -> FrontOptions:
+        """As they are now: settings may change while the client is connected."""
+        return self._factory.options
+
     # The transport's side
 
     def connectionMade(self) -> None:
@@ -214,7 +219,7 @@
         if not self._identity and not self._options.anonymous:
             return self._answer(message, m.Code.INSUFFICIENT_ACCESS, "bind first")
         assert not isinstance(operation, m.Response)
-        placed = self._classifier.place(operation, self._identity, entry)
+        placed = self._factory.classifier.place(operation, self._identity, entry)
         if placed.group is None:
             name = entry_of(operation) if entry is None else entry
             return self._answer(message, m.Code.NO_SUCH_OBJECT, f"no group holds {name!r}")
--- a/yardbank/membership/document.py
+++ b/yardbank/membership/document.py
@@ -1,8 +1,8 @@
 """A set of list files as one checked value. No I/O: texts come in, a ``Fleet`` or faults go out.
 
-A set is one file or several parts: ``server`` blocks, ``weights`` blocks that name servers, and in any part
-``set = "..."``, which all parts that carry it must agree on, and ``count = N``, the servers of that file.
-Groups are the settings' own.
+A set is one file or several parts: ``server`` blocks, ``weights`` blocks that name servers, ``class`` blocks,
+and in any part ``set = "..."``, which all parts that carry it must agree on, and ``count = N``, the servers of
+that file. Groups are the settings' own.
 """
 
 from __future__ import annotations
@@ -14,7 +14,7 @@
 from pydantic import ValidationError
 
 from yardbank.config.hcl import Body, HclError
-from yardbank.config.schema import Server
+from yardbank.config.schema import Class, Server
 from yardbank.gateway.api import ServerSpec
 from yardbank.membership.blocks import BlockCache
 
@@ -37,6 +37,7 @@
     digest: str
     set_name: str = ""
     force: bool = False  # the operator's word that a large change is meant
+    classes: tuple[Class, ...] = ()  # empty: the settings' own stay in force
 
     def by_name(self) -> dict[str, ServerSpec]:
         """Servers by name."""
@@ -63,6 +64,7 @@
     places: dict[tuple[str, int], str] = {}
     weights: list[tuple[str, float, str]] = []
     sets: dict[str, str] = {}
+    classes: dict[str, Class] = {}
     counts: dict[str, tuple[int, int, int]] = {}
     force = False
     known = set(groups)
@@ -90,6 +92,8 @@
             for block in found:
                 if kind == "server":
                     _server(name, block, known, servers, places, faults)
+                elif kind == "class":
+                    _class(name, block, classes, faults)
                 elif kind == "weights" and not block.label and not block.blocks:
                     _weights(name, block, weights, faults)
                 else:
@@ -112,7 +116,8 @@
         faults.append(f"the list names {len(servers)} servers, {MAX_SERVERS} allowed")
     if faults:
         raise FleetError(faults)
-    return Fleet(tuple(spec for spec, _ in servers.values()), digest_of(texts), next(iter(sets.values()), ""), force)
+    return Fleet(tuple(spec for spec, _ in servers.values()), digest_of(texts), next(iter(sets.values()), ""), force,
+                 tuple(classes.values()))  # fmt: skip
 
 
 def _server(
@@ -149,6 +154,27 @@
         servers[s.name] = spec, where
 
 
+def _class(name: str, block: Body, classes: dict[str, Class], faults: list[str]) -> None:
+    matches = block.blocks.get("match", [])
+    unknown = [inner for kind, blocks in block.blocks.items() if kind != "match" for inner in blocks]
+    if unknown or any(inner.blocks for inner in matches):
+        faults.append(f"{name}:{block.line}: class {block.label!r}: only match blocks may stand in it")
+        return
+    try:
+        found = Class.model_validate(
+            {"name": block.label, **block.attributes, "match": [inner.attributes for inner in matches]}
+        )
+    except ValidationError as problem:
+        for error in problem.errors():
+            key = str(error["loc"][0]) if error["loc"] else ""
+            reason = error["msg"].removeprefix("Value error, ")
+            faults.append(f"{name}:{block.lines.get(key, block.line)}: class {block.label!r}: {key}: {reason}")
+        return
+    if found.name in classes:
+        faults.append(f"{name}:{block.line}: class {found.name!r} is given twice")
+    classes[found.name] = found
+
+
 def _weights(name: str, block: Body, weights: list[tuple[str, float, str]], faults: list[str]) -> None:
     for server, value in block.attributes.items():
         where = f"{name}:{block.lines[server]}"
--- a/yardbank/membership/life.py
+++ b/yardbank/membership/life.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from yardbank.gateway.api import MS, SECOND
@@ -50,7 +50,15 @@
 class Membership:
     """Decides which version of the list is in force."""
 
-    def __init__(self, groups: Iterable[str], settle: int = SETTLE, patience: int = PATIENCE) -> None:
+    def __init__(
+        self,
+        groups: Iterable[str],
+        settle: int = SETTLE,
+        patience: int = PATIENCE,
+        check: Callable[[Fleet], list[str]] = lambda fleet: [],
+    ) -> None:
+        """``check`` names faults that only the settings show; times in ns."""
+        self._check = check
         self._groups = frozenset(groups)
         self._settle, self._patience = settle, patience
         self.number = 0
@@ -111,6 +119,8 @@
                 fleet = read_set(self._texts, self._groups, self._blocks)
             except FleetError as problem:
                 return self._once(Reject(self._digest, tuple(problem.faults)))
+            if faults := self._check(fleet):
+                return self._once(Reject(self._digest, tuple(faults)))
         if self.current is not None and fleet.digest == self.current.digest:
             return []
         old = self.current.servers if self.current else ()
--- a/yardbank/proxy.py
+++ b/yardbank/proxy.py
@@ -78,11 +78,14 @@
             log_answers=config.logging.answers,
             router=router,
         )
+        self._matching = config
         self._fleet: FleetKeeper | None = None
         if config.membership is None:
             self.gateway.apply_list(build.servers(config))
         else:
-            self._fleet = FleetKeeper(config, self.gateway, reactor, folder, worker, self.log)
+            self._fleet = FleetKeeper(
+                config, self.gateway, reactor, folder, worker, self.log, take_classes=self._take_classes
+            )
 
     def start(self) -> None:
         """Listen. Raises ``OSError`` if an address cannot be had; then nothing listens."""
@@ -98,7 +101,7 @@
             self._fleet.start()
         for listener, made in zip(self.config.listener, sockets, strict=True):
             options = build.front_options(self.config, listener)
-            factory = LdapFrontFactory(self.gateway, build.classifier(self.config), options)
+            factory = LdapFrontFactory(self.gateway, build.classifier(self._matching), options)
             self._factories.append(factory)
             self._ports.append(self._reactor.adoptStreamPort(made.fileno(), made.family, factory))
             address = made.getsockname()[:2]
@@ -106,6 +109,12 @@
             self.addresses.append(address)
             self.log.info("listening", protocol=listener.protocol, address=address[0], port=address[1])
 
+    def _take_classes(self, config: Config) -> None:
+        """What operations match, as a watched list says it; requests taken before keep their class."""
+        self._matching = config
+        for factory in self._factories:
+            factory.classifier = build.classifier(config)
+
     def reload(self, config: Config) -> None:
         """Take other settings: servers, classes' matches, identities. What cannot change in service says so.
 
