--- a/yardbank/fleet.py
+++ b/yardbank/fleet.py
@@ -9,14 +9,16 @@
 
 from yardbank.config import Config, build
 from yardbank.config.load import cross_faults
-from yardbank.gateway.api import ServerSpec
+from yardbank.gateway.api import MS, ServerSpec
 from yardbank.gateway.gateway import Gateway
 from yardbank.membership.document import Fleet
 from yardbank.membership.life import Action, Apply, Hold, Membership, Reject
 from yardbank.membership.watcher import Watcher
 from yardbank.state.snapshot import GroupState, ServerState, Snapshot
 from yardbank.state.store import Store, StoreError
-from yardbank.state.trust import judge
+from yardbank.state.trust import WriteRate, judge
+
+WRITE_EVERY = 200 * MS  # snapshots: lists that change in a storm are not all worth a disk write
 
 
 class FleetKeeper:
@@ -47,6 +49,8 @@
             log=log,
             every=block.poll / 1e9,
         )
+        self._reactor, self._rate = reactor, WriteRate(WRITE_EVERY)
+        self._later: Any = None
         self._store: Store | None = None
         if config.state is not None:
             self._restore(folder / config.state.path / f"worker-{worker}")
@@ -62,6 +66,9 @@
     def stop(self, clean: bool) -> None:
         """Watch no longer; ``clean``: every request was answered, and what is written now is the last word."""
         self.watcher.stop()
+        if self._later is not None:
+            self._later.cancel()
+            self._later = None
         if clean:
             self._write(clean=True)
         if self._store is not None:
@@ -97,7 +104,8 @@
                 self._gateway.apply_list(fleet.servers, number)
                 self._take_classes(self._with_classes(fleet))
                 self._log.info("list_version", version=number, digest=fleet.digest, change=change.lines()[:10])
-                self._write(clean=False)
+                self._rate.changed()
+                self._keep()
             case Reject(digest, faults):
                 for fault in faults[:20]:
                     self._log.error("list_rejected", digest=digest, fault=fault)
@@ -114,7 +122,20 @@
             return ["the list's classes: only what they match can change in service"]
         return [f"the list: {reason}" for _, reason in cross_faults(config)]
 
+    def _keep(self) -> None:
+        """Write a snapshot now, or as soon as one may be written again."""
+        due = self._rate.due(self._gateway.now())
+        if due == 0:
+            self._write(clean=False)
+        elif due is not None and self._later is None:
+            self._later = self._reactor.callLater(due / 1e9, self._keep_later)
+
+    def _keep_later(self) -> None:
+        self._later = None
+        self._keep()
+
     def _write(self, clean: bool) -> None:
+        self._rate.written(self._gateway.now())
         if self._store is None:
             return
         heads, told = self._gateway.remember()
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -33,12 +33,13 @@
     """A request that is owed its answer, or whose attempts are still out."""
 
     __slots__ = (
-        "answering", "attempts", "call", "ended", "gathered", "id", "kind", "may_have_run", "out", "parts",
-        "stream_timer", "taken_at",
+        "answering", "attempts", "call", "ended", "gathered", "id", "kind", "list_version", "may_have_run", "out",
+        "parts", "stream_timer", "taken_at",
     )  # fmt: skip
 
-    def __init__(self, number: str, call: Call, kind: api.RequestClass, now: int) -> None:
+    def __init__(self, number: str, call: Call, kind: api.RequestClass, now: int, list_version: int) -> None:
         self.id, self.call, self.kind, self.taken_at = number, call, kind, now
+        self.list_version = list_version
         self.attempts = 0
         self.out: dict[int, Attempt] = {}
         self.parts: dict[int, list[Any]] = {}  # gathered, by attempt
@@ -202,7 +203,7 @@
         number = f"{self._prefix}-{self._sequence}"
         kind = self._kinds[call.class_name]
         now = self._clock.now()
-        request = _Open(number, call, kind, now)
+        request = _Open(number, call, kind, now, self.list_version)
         self._open[number] = request
         self._owed += 1
         if self._record:
@@ -529,6 +530,7 @@
                 request_class=request.kind.name,
                 operation=request.call.label or self._backend.describe(request.call.operation),
                 attempts=request.attempts,
+                list=request.list_version,
                 server=server or None,
                 ms=round((self._clock.now() - request.taken_at) / 1e6, 3),
             )
