--- /dev/null
+++ b/tests/test_plan.py
@@ -0,0 +1,163 @@
+"""Plans against exact brute force: min-cost flow in rationals, by other code than the solver's."""
+
+import itertools
+from fractions import Fraction
+
+import pytest
+
+from yardbank.plan import Demand, Limits, PlanServer, Problem, solve
+from yardbank.plan.model import warmth_of
+
+
+def exact(problem):
+    """Least crossing for each group by successive shortest paths in rationals; None: not feasible."""
+    total = Fraction(0)
+    for group in problem.groups():
+        servers = [s for s in problem.servers if s.group == group]
+        demands = [d for d in problem.demands if d.group == group]
+        edges, ends = {}, {}
+
+        def add(a, b, cap, cost, edges=edges, ends=ends):
+            edges[a, b], edges[b, a] = [Fraction(cap), cost], edges.get((b, a), [Fraction(0), -cost])
+            ends.setdefault(a, set()).add(b)
+            ends.setdefault(b, set()).add(a)
+
+        for d in demands:
+            add("from", d, Fraction(d.rate), 0)
+            share = Fraction(problem.limits.spill.get(d.zone, 1)).limit_denominator(1000)
+            add(d, ("out", d.zone), Fraction(10**9), 1)
+            for s in servers:
+                if s.zone == d.zone:
+                    add(d, s, Fraction(10**9), 0)
+        for zone in {d.zone for d in demands}:
+            asked = sum(Fraction(d.rate) for d in demands if d.zone == zone)
+            share = Fraction(problem.limits.spill.get(zone, 1)).limit_denominator(1000)
+            add(("out", zone), ("away", zone), asked * share, 0)
+            for s in servers:
+                if s.zone != zone:
+                    add(("away", zone), s, Fraction(10**9), 0)
+        for s in servers:
+            usable = Fraction(s.capacity) * Fraction(s.warmth).limit_denominator(1000) - Fraction(s.taken)
+            add(s, "to", max(Fraction(0), usable), 0)
+        flow = cost = Fraction(0)
+        while True:  # Bellman and Ford: costs may be negative on the way back
+            best, before = {"from": 0}, {}
+            for _ in range(len(ends)):
+                for (a, b), (cap, price) in edges.items():
+                    if cap > 0 and a in best and best[a] + price < best.get(b, 10**9):
+                        best[b], before[b] = best[a] + price, a
+            if "to" not in best:
+                break
+            path, at = [], "to"
+            while at != "from":
+                path.append((before[at], at))
+                at = before[at]
+            step = min(edges[edge][0] for edge in path)
+            for a, b in path:
+                edges[a, b][0] -= step
+                edges[b, a][0] += step
+            flow, cost = flow + step, cost + step * best["to"]
+        if flow < sum(Fraction(d.rate) for d in demands):
+            return None
+        total += cost
+    return total
+
+
+def grid(most_servers, stride):
+    """Cases up to so many servers and 3 zones."""
+    zones, number = ("a", "b", "c"), 0
+    for count in range(1, most_servers + 1):
+        for places in itertools.product(zones, repeat=count):
+            for capacity, spill, warm in itertools.product((0, 5, 8), (None, 0, 0.25), (1.0, 0.3)):
+                number += 1
+                if number % stride:
+                    continue
+                servers = tuple(
+                    PlanServer(f"s{n}", "g", zone, capacity + n % 3, warm if n == 0 else 1.0)
+                    for n, zone in enumerate(places)
+                )
+                demands = tuple(Demand("read", "g", zone, rate) for zone, rate in zip(zones, (6, 3, 1)))
+                limits = Limits(spill={} if spill is None else {"a": spill, "b": 0.5})
+                yield Problem(servers, demands, limits)
+
+
+def check(problem):
+    wanted, plan = exact(problem), solve(problem)
+    assert plan.feasible == (wanted is not None)
+    if wanted is None:
+        return False
+    assert abs(plan.crossing - float(wanted)) < 1e-4
+    used = dict.fromkeys((s.name for s in problem.servers), 0.0)
+    for demand in problem.demands:
+        shares = plan.shares.get((demand.kind, demand.group, demand.zone), {})
+        assert abs(sum(shares.values()) - (demand.rate > 0)) < 1e-5
+        for name, share in shares.items():
+            used[name] += share * demand.rate
+    for server in problem.servers:  # a just-started server's share is one that it can carry
+        assert used[server.name] <= server.usable + 1e-4
+    return True
+
+
+def test_the_same_verdict_and_optimum_as_brute_force():
+    found = [check(problem) for problem in grid(6, 47)]
+    assert len(found) > 300 and 50 < sum(found) < len(found) - 50
+
+
+def test_a_conflict_is_minimal_and_says_by_how_much():
+    servers = (PlanServer("s1", "g", "a", 5), PlanServer("s2", "g", "b", 100))
+    problem = Problem(servers, (Demand("read", "g", "a", 20),), Limits(spill={"a": 0.5}))
+    (conflict,) = solve(problem).conflicts
+    assert set(conflict.limits) == {
+        "demand of read in a: 20/s", "capacity of s1: 5/s", "spill out of a: at most 50% of 20/s",
+    }  # fmt: skip
+    assert abs(conflict.unserved - 5) < 1e-3
+    assert solve(problem).shares == {}
+    for easier in (
+        Problem(servers, (Demand("read", "g", "a", 15),), Limits(spill={"a": 0.7})),
+        Problem((PlanServer("s1", "g", "a", 10), servers[1]), problem.demands, problem.limits),
+        Problem(servers, problem.demands, Limits(spill={"a": 0.75})),
+    ):
+        assert solve(easier).feasible
+
+
+@pytest.mark.parametrize(
+    ("servers", "limits", "word"),
+    [
+        ((PlanServer("s1", "g", "a", 10), PlanServer("s2", "g", "a", 8)), Limits(survive_server=True), "s1 lost"),
+        ((PlanServer("s1", "g", "a", 20), PlanServer("s2", "g", "b", 0)), Limits(survive_zone=True), None),
+        ((PlanServer("s1", "g", "a", 0),), Limits(), "capacity of s1: 0/s"),
+        ((), Limits(), "demand of read in a"),
+        ((PlanServer("s1", "g", "a", 20, 0.3),), Limits(), "capacity of s1: 6/s"),  # all of a zone cold
+        ((PlanServer("s1", "g", "a", 20, taken=15),), Limits(), "capacity of s1: 5/s"),
+    ],
+)
+def test_hard_cases(servers, limits, word):
+    plan = solve(Problem(servers, (Demand("read", "g", "a", 9),), limits))
+    assert plan.feasible == (word is None)
+    assert word is None or any(word in limit for limit in plan.conflicts[0].limits)
+
+
+def test_equals_are_shared_evenly_and_the_same_input_gives_the_same_plan():
+    servers = tuple(PlanServer(f"s{n}", "g", "a", 10) for n in range(4))
+    problem = Problem(servers, (Demand("read", "g", "a", 20), Demand("status", "g", "a", 4)))
+    plan = solve(problem)
+    assert all(abs(use - 0.6) < 1e-4 for use in plan.used.values())
+    again = solve(Problem(tuple(reversed(servers)), tuple(reversed(problem.demands))))
+    assert again.shares == plan.shares
+
+
+def test_scales_far_apart_and_binding_limits_in_words():
+    servers = (PlanServer("small", "g", "a", 0.5), PlanServer("large", "g", "b", 1e6))
+    plan = solve(Problem(servers, (Demand("read", "g", "a", 1000.0),)))
+    assert plan.feasible and abs(plan.crossing - 999.5) < 1
+    assert any(limit.startswith("capacity of small") and "spare 1/s" in limit for limit in plan.binding)
+
+
+def test_what_makes_no_sense_is_named():
+    with pytest.raises(ValueError, match="given twice"):
+        Problem((PlanServer("s", "g", "a", 1), PlanServer("s", "g", "b", 1)), ())
+    with pytest.raises(ValueError, match="out of range"):
+        Problem((PlanServer("s", "g", "a", float("nan")),), ())
+    with pytest.raises(ValueError, match="spill of zone 'a'"):
+        Problem((), (), Limits(spill={"a": 2}))
+    assert [warmth_of(age, 10, 0.3) for age in (0, 5, 99)] == pytest.approx([0.3, 0.65, 1.0])
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -564,3 +564,41 @@
         assert send.server == 77  # never the primary, though hardly any look finds the one
         world.end(f"r{number}", 77, after=MS)
         world.known(77, after=MS)
+
+
+def shares(world, requests=400):
+    """How often each server gets a read while all are idle and alike."""
+    counts = {}
+    for number in range(requests):
+        world.ask(f"r{number}", "any")
+        (send,) = world.of(Send)
+        counts[send.server] = counts.get(send.server, 0) + 1
+        world.end(f"r{number}", send.server, after=20 * MS)
+    return counts
+
+
+def test_equals_get_their_shares_and_what_is_seen_of_a_server_outranks_its_share():
+    members = [Member(1, "a", 0, True, "ready")]
+    members += [Member(n, "a", 0, False, "ready", share=share) for n, share in ((2, 3.0), (3, 1.0), (4, 1.0))]
+    world = World(members)
+    shares(world, 50)
+    world.now += 60 * SECOND  # strangers count as the zone by now: all are equals
+    counts = shares(world)
+    assert 190 < counts[2] < 290 and 40 < counts[3] < 130 and 40 < counts[4] < 130
+    world = World(members)
+    world.ask("lost", "any")
+    world.end("lost", world.of(Send)[0].server, "reset", closed=False)
+    for server in (2, 3, 4):
+        world.router.servers[server].retry_at = world.now + 100 * SECOND if server == 2 else 0
+    assert 2 not in shares(world, 50)
+
+
+def test_equal_shares_draw_no_chance_and_change_no_action():
+    drawn = []
+    worlds = [World([Member(n, "a", 0, n == 1, "ready", share=share) for n in range(1, 6)]) for share in (1.0, 2.0)]
+    for world in worlds:
+        world.router.random.choices = lambda *args: drawn.append(args)
+    assert shares(worlds[0]) == shares(worlds[1])
+    assert drawn == []
+    with pytest.raises(ValueError, match="share must be positive"):
+        Member(1, "a", 0, True, "ready", share=0)
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -173,7 +173,7 @@
             if old and old.started == spec.started:
                 started = self._started[number]  # one start stays one instant, also if the wall clock steps
             self._started[number] = started
-            members.append(api.Member(number, spec.zone, group, spec.primary, spec.state, started))
+            members.append(api.Member(number, spec.zone, group, spec.primary, spec.state, started, spec.weight))
         for name in gone:
             was, number = self._specs[name], self._servers[name]
             members.append(api.Member(number, was.zone, self._groups[was.group], False, "gone"))
--- a/yardbank/interface.py
+++ b/yardbank/interface.py
@@ -97,6 +97,10 @@
     primary: bool
     state: str  # ready | draining | gone
     started: int = 0  # 0: long ago
+    share: float = 1.0  # of what equals are sent, as the operator or a plan says
+
+    def __post_init__(self) -> None:
+        _require(self.share > 0, f"server {self.server}: share must be positive")
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/yardbank/plan/model.py
@@ -0,0 +1,82 @@
+"""What a plan is made for: demand, servers, limits. Rates are requests a second."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True, frozen=True)
+class PlanServer:
+    """One server: what it can do when warm, how warm it is, and what of it is taken already (writes)."""
+
+    name: str
+    group: str
+    zone: str
+    capacity: float
+    warmth: float = 1.0  # the share of its capacity that it surely has now
+    taken: float = 0.0
+
+    @property
+    def usable(self) -> float:
+        """What is left for reads."""
+        return max(0.0, self.capacity * self.warmth - self.taken)
+
+
+@dataclass(slots=True, frozen=True)
+class Demand:
+    """Reads of one class for one group, asked for in one zone."""
+
+    kind: str
+    group: str
+    zone: str
+    rate: float
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What a plan must keep."""
+
+    most_used: float = 1.0  # of each server's usable capacity
+    spill: Mapping[str, float] = field(default_factory=dict)  # by zone: the share of a group's reads that may leave
+    survive_server: bool = False  # any one server of a group lost: the rest carries its demand
+    survive_zone: bool = False  # any one zone lost: the rest carries each group's demand of the other zones
+
+
+@dataclass(slots=True, frozen=True)
+class Problem:
+    """All of it. Raises ``ValueError`` naming what does not fit together."""
+
+    servers: tuple[PlanServer, ...]
+    demands: tuple[Demand, ...]
+    limits: Limits = Limits()
+
+    def __post_init__(self) -> None:
+        names = [server.name for server in self.servers]
+        if len(set(names)) != len(names):
+            raise ValueError("servers: a name is given twice")
+        keys = [(d.kind, d.group, d.zone) for d in self.demands]
+        if len(set(keys)) != len(keys):
+            raise ValueError("demands: the same class, group and zone twice")
+        for server in self.servers:
+            if not (0 <= server.capacity < 1e12 and 0 <= server.warmth <= 1 and 0 <= server.taken < 1e12):
+                raise ValueError(f"server {server.name!r}: capacity, warmth or taken is out of range")
+        for demand in self.demands:
+            if not 0 <= demand.rate < 1e12:
+                raise ValueError(f"demand {demand.kind!r} of {demand.group!r}: rate is out of range")
+        for zone, share in self.limits.spill.items():
+            if not 0 <= share <= 1:
+                raise ValueError(f"spill of zone {zone!r} is not between 0 and 1")
+        if not 0 < self.limits.most_used <= 1:
+            raise ValueError("most_used is not above 0 and at most 1")
+
+    def groups(self) -> tuple[str, ...]:
+        """Groups with demand or servers, in order of name."""
+        return tuple(sorted({s.group for s in self.servers} | {d.group for d in self.demands}))
+
+
+def warmth_of(age: float, cold: float, cold_share: float) -> float:
+    """The share of its capacity that a server started ``age`` seconds ago surely has; warm after ``cold``."""
+    if cold <= 0 or age >= cold:
+        return 1.0
+    return cold_share + (1 - cold_share) * max(0.0, age) / cold
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -25,6 +25,7 @@
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
 ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
 IDLE, SCARCE = 30 * SECOND, 5 * SECOND  # a connection may idle so long; none, so long after one was refused
+EQUALS = 1.3  # servers that look dearer than the best by no more than this are equals: their shares decide
 LOOK = 16  # members looked at for one read, where a group has more
 LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
 
@@ -34,6 +35,7 @@
 
     def __init__(self, member: api.Member, now: int) -> None:
         self.id, self.zone, self.group = member.server, member.zone, member.group
+        self.share = 1.0  # of what equals are sent
         self.position = self.heard = self.lag = self.started = self.probe_at = 0
         self.role_at = {True: -1, False: -1}  # when it was last known to be primary, and not to be
         self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
@@ -134,6 +136,7 @@
                 told = self.now - SECOND if event.kind == "delta" else 0  # hand-overs are told late
                 server.role_at[True] = max(server.role_at[True], told)
             server.listed_primary, server.drained = member.primary, member.state == "draining"
+            server.share = member.share
 
     def on_restored(self, event: api.Restored) -> None:
         """A restart lost every token; floors in their place keep sessions from reading too early."""
@@ -282,8 +285,12 @@
         trial = [s for s in able if s.retry_at and self.now >= s.retry_at and not s.waiting]
         if trial and well and held.attempts == 0 and (trial[0].silent or not self.probe(trial[0])):
             return trial[0]
-        room = [s for s in well or trial or able if self.has_room(s, held)]
-        return min(room, key=lambda s: self.cost(s, primary), default=None)
+        room = [(self.cost(s, primary), s) for s in well or trial or able if self.has_room(s, held)]
+        least, best = min(room, key=lambda pair: pair[0], default=(0.0, None))
+        if best is None or all(s.share == best.share for _, s in room):
+            return best
+        equals = [s for cost, s in room if cost <= EQUALS * least or (cost <= CALM and s.zone == best.zone)]
+        return self.random.choices(equals, [s.share for s in equals])[0]  # what is seen outranks shares
 
     def on_request(self, request: api.Request) -> None:
         """Route a new request by its token."""
