yardbank plan solve and explain; a scheduler for background work with priorities and a budget

The solver could be reached from tests only. Models are HCL, checked with file and line; a plan's weights are written as a part of a watched list, and nothing is written where nothing is feasible (exit code 4). The scheduler decides without I/O what background work runs next: priorities that age, a token bucket of time, a bound; a thin runner does a slice at a time. Nothing uses it yet: re-planning on a change of list will.

--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -1,10 +1,13 @@
 """Plans against exact brute force: min-cost flow in rationals, by other code than the solver's."""
 
 import itertools
+import json
 from fractions import Fraction
 
 import pytest
+from click.testing import CliRunner
 
+from yardbank.cli import main
 from yardbank.plan import Demand, Limits, PlanServer, Problem, solve
 from yardbank.plan.model import warmth_of
 
@@ -161,3 +164,76 @@
     with pytest.raises(ValueError, match="spill of zone 'a'"):
         Problem((), (), Limits(spill={"a": 2}))
     assert [warmth_of(age, 10, 0.3) for age in (0, 5, 99)] == pytest.approx([0.3, 0.65, 1.0])
+
+
+MODEL = """
+server "s1" {
+  group    = "g"
+  zone     = "a"
+  capacity = 10
+}
+
+server "s2" {
+  group    = "g"
+  zone     = "b"
+  capacity = 100
+  age      = 0
+}
+
+demand "read" {
+  group = "g"
+  zone  = "a"
+  rate  = 20
+}
+
+limits {
+  cold       = 10
+  cold_share = 0.3
+}
+
+spill {
+  a = 0.5
+}
+"""
+
+
+def call(*words):
+    return CliRunner().invoke(main, ["plan", *map(str, words)])
+
+
+def test_commands(tmp_path):
+    file, out = tmp_path / "model.hcl", tmp_path / "weights.hcl"
+    file.write_text(MODEL)
+    done = call("solve", file, "--zone", "a", "--out", out)
+    assert done.exit_code == 0 and "0.500" in done.output and "10/s between zones" in done.output
+    assert "s1 = 1.0" in out.read_text() and "s2 = 1.0" in out.read_text()
+    assert json.loads(call("solve", file, "--json").output)["crossing"] == pytest.approx(10, abs=1e-3)
+    explained = call("explain", file).output
+    assert "s1: 100% of 10/s" in explained and "s2: 33% of 30/s" in explained and "capacity of s1" in explained
+    out.unlink()
+    file.write_text(MODEL.replace("a = 0.5", "a = 0.4"))
+    done = call("solve", file, "--zone", "a", "--out", out)
+    assert done.exit_code == 4 and "spill out of a: at most 40%" in done.output and not out.exists()
+    for old, new, reason in (
+        ("rate  = 20", "rate  = -1", "model.hcl:18: demand 'read': rate"),
+        ("capacity = 10\n", "", "server 's1': capacity: missing"),
+        ("a = 0.5", 'a = "x"', "a share between 0 and 1"),
+        ("limits {", "limit {", "limit: unknown block"),
+        ('server "s2"', 'server "s1"', "a name is given twice"),
+    ):
+        file.write_text(MODEL.replace(old, new, 1))
+        done = call("explain", file)
+        assert done.exit_code == 2 and reason in done.output
+
+
+def test_weights_of_a_plan_are_a_part_of_a_watched_list(tmp_path):
+    from yardbank.gateway import ServerSpec
+    from yardbank.membership import read_set
+    from yardbank.membership.document import render
+
+    file, out = tmp_path / "model.hcl", tmp_path / "weights.hcl"
+    file.write_text(MODEL.replace("a = 0.5", "a = 1"))
+    assert call("solve", file, "--zone", "a", "--out", out).exit_code == 0
+    listed = render([ServerSpec(f"s{n}", "g", "ab"[n - 1], "h", n) for n in (1, 2)]).encode()
+    fleet = read_set({"servers.hcl": listed, "weights.hcl": out.read_bytes()}, ["g"])
+    assert [server.weight for server in fleet.servers] == [1.0, 1.0]
--- /dev/null
+++ b/yardbank/scheduler/__init__.py
@@ -0,0 +1,6 @@
+"""Background work with priorities and a budget: decided without I/O, run in slices on the reactor."""
+
+from yardbank.scheduler.plan import Budget, Job, Queue
+from yardbank.scheduler.runner import Runner
+
+__all__ = ["Budget", "Job", "Queue", "Runner"]
