The first list of a run is kept at once; a check of a list no longer walks it for each group

Starts warm were no faster than fresh: the mark of use counted against the write rate, so a gateway killed within 200 ms of its first list had kept none. The check for empty groups walked all servers for each group: 10,000 servers took seconds.

--- a/yardbank/fleet.py
+++ b/yardbank/fleet.py
@@ -97,6 +97,7 @@
                 self._act(action)  # also marks the state as in use: it is no longer the last word
         elif self._store is not None:
             self._write(clean=False)
+        self._rate = WriteRate(WRITE_EVERY)  # the first list of this run is kept at once
 
     def _act(self, action: Action) -> None:
         match action:
--- a/yardbank/lab/day.py
+++ b/yardbank/lab/day.py
@@ -90,9 +90,13 @@
     def live(self) -> Generator[Deferred[Any], Any, None]:
         """Ask until the day is over; several requests are out at a time."""
         while not self.over:
+            connection = self.connections
             ready = yield self.ensure()
             if not ready:
                 continue
+            if self.connections != connection:  # what it wrote through an earlier connection, it reads first
+                yield self.status()
+                continue
             chance = self.random.random()
             if chance < 0.4:
                 answer = yield self.lookup()
--- a/yardbank/membership/change.py
+++ b/yardbank/membership/change.py
@@ -64,9 +64,9 @@
     after = {s.name: s for s in new if s.state == "ready"}
     usable = [s for s in old if s.state == "ready"]
     lost = [s.name for s in usable if s.name not in after]
-    for group in sorted({s.group for s in usable}):
-        if not any(s.group == group for s in after.values()):
-            return f"group {group!r} would have no server left"
+    empty = {s.group for s in usable} - {s.group for s in after.values()}
+    if empty:
+        return f"group {min(empty)!r} would have no server left"
     primaries = {s.name for s in usable if s.primary}
     kept = any(s.primary for s in after.values()) or not primaries - after.keys()
     if primaries and not kept:
