A search above the groups goes to each of them and has one honest final answer

Cause: every search at dc=porting, the base that the demo names, ended in noSuchObject, since only one group's suffix was looked for.

Change: yardbank.spread (no I/O) knows the tree over all suffixes (glue entries made from names), the parts of a search, turns and a window for parts out at once, the merge into one ending, and pages under a cookie of the gateway's own. Each part is a request of its own to the module; a search takes the strictest of the classes that it reaches and the shortest deadline. modifyDN between groups is affectsMultipleDSAs. The audit judges a spread search by its parts.

--- a/tests/net.py
+++ b/tests/net.py
@@ -83,6 +83,15 @@
         entry = f"cn={number},ou={group},dc=porting"
         return self.get(m.SearchRequest(entry, 0, m.Present("objectClass")), need, group, **more)
 
+    def spread(self, base="dc=porting", scope=2, parts=(), deadline=1.5, controls=(), **more):
+        """A search over several groups; ``parts``: what each group's suffix needs. The result is a Deferred."""
+        self.asked += 1
+        tag = f"{self.client.name}/{self.asked}"
+        request = m.SearchRequest(base, scope, more.pop("filter", m.Present("objectClass")), **more)
+        control = m.Control(TAG_CONTROL, False, tag.encode())
+        need = {"read": "spread", "parts": [{"session": self.client.name, **part} for part in parts]}
+        return self.client.request(request, (control, *controls), tag, need=need, deadline=deadline)
+
 
 def shown(answer, name="description"):
     """The values of an attribute in the one entry of an answer."""
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,289 @@
+"""Searches that span groups: the deciders by themselves, against one directory that holds the whole tree."""
+
+import itertools
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from yardbank.interface import RequestClass
+from yardbank.ldap import filters
+from yardbank.ldap import messages as m
+from yardbank.ldap.classify import Classifier, Rule
+from yardbank.ldap.messages import Code, Scope
+from yardbank.ldap.spread import spans
+from yardbank.spread import Budget, CookieError, Pages, Part, Spread, Tree, Verdict, identity_of
+from yardbank.spread.tree import glue_attributes
+from yardbank.standin.directory import Directory, Entry
+
+SECOND = 1_000_000_000
+PRESENT = m.Present("objectClass")
+
+
+def spread(count=3, deadline=SECOND, worth=(), **more):
+    parts = [Part(f"ou=g{i},dc=x", f"ou=g{i},dc=x", worth[i] if worth else 1.0) for i in range(count)]
+    made = Spread(parts, 0, deadline, **more)
+    made.begin()
+    return made
+
+
+def send_all(search, now=0):
+    return [ask.index for ask in iter(lambda: search.next(now, False), None)]
+
+
+def test_names_of_the_tree_and_their_holders():
+    tree = Tree({"top": "dc=Porting", "deep": "ou=a,ou=B,dc=porting", "far": "o=X,c=ec"})
+    assert tree.holder("cn=1,ou=a,ou=b,dc=porting") == "deep" and tree.holder("ou=b,dc=porting") == "top"
+    assert tree.holder("c=ec") is None and tree.glue("c=ec") == "c=ec" and tree.glue("ou=b,dc=porting") is None
+    assert tree.matched("ou=none,c=ec") == "c=ec" and tree.matched("dc=none") == ""
+    assert not tree.reach("dc=none", Scope.SUBTREE).known and tree.reach("dc=none", Scope.SUBTREE).matched == ""
+    assert tree.divided("dc=porting") and not tree.divided("ou=a,ou=b,dc=porting")
+    assert glue_attributes("ou=A+cn=b,c=ec") == (("objectClass", (b"top", b"organizationalUnit")), ("ou", (b"A",)), ("cn", (b"b",)))
+    assert glue_attributes("x=1")[0] == ("objectClass", (b"top", b"extensibleObject"))
+    with pytest.raises(ValueError, match="at_once"):
+        Budget(0)
+
+
+def test_an_escaped_comma_is_no_boundary():
+    tree = Tree({"a": "ou=a,dc=x"})
+    assert tree.holder("cn=1\\,ou=a,dc=x") is None and tree.holder("cn=1\\,2,ou=a,dc=x") == "a"
+
+
+NAMES = ["dc=x", "ou=a,dc=x", "ou=b,dc=x", "ou=c,ou=a,dc=x", "ou=d,ou=c,ou=a,dc=x", "o=y", "ou=e,o=y"]
+
+
+def whole_tree(groups):
+    """One directory holding everything: glue, suffixes, and two entries in each group."""
+    one = Directory("")
+    one.entries.clear()
+    names = set()
+    for suffix in groups.values():
+        names |= {f"cn=1,{suffix}", f"cn=2,cn=1,{suffix}"}
+        above = suffix
+        while above:  # what a suffix hangs from is there, held or glue
+            names.add(above)
+            above = filters.parent(above)
+    for name in names:
+        one.entries[name] = Entry(name, {"objectclass": ("objectClass", [b"top"])})
+    return one
+
+
+@given(st.sets(st.sampled_from(NAMES), min_size=1), st.sampled_from([*NAMES, "cn=1,ou=a,dc=x"]), st.sampled_from(list(Scope)))
+@settings(max_examples=300, deadline=None)
+def test_parts_and_glue_are_exactly_what_one_directory_would_find(suffixes, base, scope):
+    groups = {f"g{i}": suffix for i, suffix in enumerate(sorted(suffixes))}
+    tree = Tree(groups)
+    one = whole_tree(groups)
+    (code, _), wanted = one.search(m.SearchRequest(base, scope, PRESENT))
+    reach = tree.reach(base, scope)
+    if not reach.known:
+        assert code != 0
+        return
+    found = list(reach.glue)
+    for piece in reach.pieces:
+        member = Directory(groups[piece.group])
+        for name, entry in one.entries.items():
+            if filters.under(name, groups[piece.group]):  # a group may hold shadows of others: they must not count
+                member.entries[name] = entry
+        (code, _), entries = member.search(m.SearchRequest(piece.base, piece.scope, PRESENT))
+        merged = Spread([Part("", piece.base, 1.0, piece.shadows)], 0, SECOND)
+        merged.next(0, False)
+        if code == 0:
+            found += [e.dn for e in entries if merged.entry(0, e.dn, hash(e.dn)) is Verdict.PASS]
+    assert sorted(found) == sorted(e.dn for e in wanted)
+
+
+def test_only_a_search_that_leaves_its_group_is_divided():
+    tree = Tree({"a": "ou=a,dc=x", "b": "ou=b,dc=x"})
+    ask = lambda base, scope: spans(tree, m.SearchRequest(base, scope, PRESENT), base)  # noqa: E731
+    assert ask("ou=a,dc=x", Scope.SUBTREE) is None and ask("cn=1,ou=a,dc=x", Scope.BASE) is None
+    assert [p.group for p in ask("dc=x", Scope.SUBTREE).pieces] == ["a", "b"]
+    assert ask("dc=x", Scope.BASE).glue == ("dc=x",)
+    assert ask("", Scope.ONE).glue == ("dc=x",)  # the root entry itself is no part of a search below it
+    assert {p.scope for p in ask("dc=x", Scope.ONE).pieces} == {Scope.BASE}
+
+
+def test_success_is_said_only_when_every_part_succeeded():
+    for outcomes in itertools.product(("ok", "none", "refused", "failed", "unwilling"), repeat=3):
+        search = spread()
+        assert send_all(search) == [0, 1, 2]
+        for index, outcome in enumerate(outcomes):
+            assert search.ending is None
+            match outcome:
+                case "ok":
+                    search.done(index, Code.SUCCESS)
+                case "none":
+                    search.done(index, Code.NO_SUCH_OBJECT)
+                case "refused":
+                    search.refused(index, "turned away")
+                case "failed":
+                    search.failed(index, "dead", 1)
+                case "unwilling":
+                    search.done(index, Code.UNWILLING, "no")
+        bad = [f"ou=g{i},dc=x" for i, outcome in enumerate(outcomes) if outcome not in ("ok", "none")]
+        assert (search.ending.code == Code.SUCCESS) == (not bad) and list(search.ending.missing) == bad
+        assert all(name in search.ending.diagnostic for name in bad)
+        if "failed" in outcomes:
+            assert search.ending.code == Code.UNAVAILABLE
+        elif "refused" in outcomes:
+            assert search.ending.code == Code.BUSY
+
+
+def test_one_ending_whatever_comes_later():
+    search = spread()
+    send_all(search)
+    search.done(0, Code.SUCCESS)
+    search.overdue()
+    first = search.ending
+    assert first.code == Code.UNAVAILABLE and first.missing == ("ou=g1,dc=x", "ou=g2,dc=x")
+    search.done(1, Code.SUCCESS)
+    search.failed(2, "late", 2)
+    search.give_up()
+    assert search.ending is first and search.entry(1, "cn=1", 1) is Verdict.DROP and search.next(3, False) is None
+    assert search.out == (1, 2)  # for the caller to leave
+
+
+def test_the_size_limit_holds_over_all_parts_together():
+    search = spread(3, size_limit=4)
+    assert [search.next(0, False).size_limit for _ in range(2)] == [4, 4]
+    assert [search.entry(i % 2, f"cn={i}", i) for i in range(4)] == [Verdict.PASS] * 4
+    assert search.next(0, False).size_limit == 1  # none may follow, but whether one does must be known
+    search.done(0, Code.SUCCESS)
+    search.done(1, Code.SUCCESS)
+    assert search.ending is None  # exactly the limit so far: no error yet
+    assert search.entry(2, "cn=5", 5) is Verdict.END
+    assert search.ending.code == Code.SIZE_LIMIT and search.passed == 4
+
+
+def test_exactly_the_size_limit_is_a_success():
+    search = spread(2, size_limit=2)
+    send_all(search)
+    assert search.entry(0, "cn=1", 1) is search.entry(1, "cn=2", 2) is Verdict.PASS
+    search.done(0, Code.SUCCESS)
+    search.done(1, Code.SUCCESS)
+    assert search.ending.code == Code.SUCCESS
+
+
+def test_the_shorter_of_time_limit_and_deadline_ends_it():
+    search = spread(2, deadline=3 * SECOND, time_limit=2 * SECOND)
+    assert search.until == 2 * SECOND and search.next(SECOND, False).time_limit == SECOND
+    assert search.next(2 * SECOND, False) is None
+    assert search.ending.code == Code.TIME_LIMIT and len(search.ending.missing) == 2
+    search = spread(1, deadline=SECOND, time_limit=2 * SECOND)
+    search.overdue()
+    assert search.ending.code == Code.UNAVAILABLE
+
+
+def test_a_part_that_broke_off_repeats_nothing_and_is_asked_again_once():
+    search = spread(2, size_limit=10)
+    send_all(search)
+    assert search.entry(0, "cn=1", 1) is search.entry(0, "cn=2", 2) is Verdict.PASS
+    search.failed(0, "the answer broke off", 5)
+    assert search.waiting and search.next(6, False).index == 0
+    assert [search.entry(0, f"cn={i}", i) for i in (2, 1, 3)] == [Verdict.DROP, Verdict.DROP, Verdict.PASS]
+    search.failed(0, "again", 7)
+    search.done(1, Code.SUCCESS)
+    assert search.ending.code == Code.UNAVAILABLE and search.passed == 3
+
+
+def test_a_part_that_failed_before_its_first_entry_is_the_modules_to_judge():
+    search = spread(1)
+    send_all(search)
+    search.failed(0, "no server", 5)
+    assert search.ending.code == Code.UNAVAILABLE
+
+
+def test_strained_the_worthiest_part_goes_first():
+    search = spread(3, worth=(1.0, 3.0, 3.0))
+    assert [search.next(0, True).index for _ in range(3)] == [1, 2, 0]
+
+
+def test_continuations_are_merged():
+    search = Spread([Part("a", "ou=a,dc=x", 1.0), Part("b", "ou=b,dc=x", 1.0)], 0, SECOND)
+    assert not search.reference(("ldap://b/ou=b,dc=x",), ["ou=b,dc=x"])  # followed here
+    assert search.reference(("ldap://c/ou=c",), ["ou=c"]) and not search.reference(("ldap://c/ou=c",), ["ou=c"])
+
+
+def test_turns_go_round_and_the_window_follows_refusals():
+    budget = Budget(4)
+    budget.join("a")
+    budget.join("b")
+    budget.join("a")
+    order = []
+    while (search := budget.turn()) is not None:
+        order.append(search)
+        budget.sent()
+    assert order == ["a", "b", "a", "b"] and budget.out == 4
+    budget.ended(refused=True)
+    budget.ended(refused=True)
+    assert budget.window == 1 and budget.strained and budget.turn() is None
+    budget.ended(served=True)
+    budget.ended(served=True)
+    for _ in range(20):
+        budget.sent()
+        budget.ended(served=True)
+    assert budget.window == 4 and not budget.strained
+    budget.leave("a")
+    budget.leave("a")
+    assert [budget.turn() for _ in range(2)] == ["b", "b"]
+
+
+@given(st.lists(st.integers(0, 7), min_size=1, max_size=6), st.integers(0, 3), st.integers(1, 5))
+@settings(max_examples=200, deadline=None)
+def test_pages_give_each_entry_once_and_are_never_too_long(sizes, own, size):
+    """Each part answers pages of its own; the cookie is all that is kept from one page to the next."""
+    cookie, seen = b"", []
+    for _ in range(sum(sizes) + own + len(sizes) + 1):
+        pages = Pages(7, len(sizes), own, size, cookie)
+        page = [("own", i) for i in pages.own()]
+        while not pages.full:
+            start = int(pages.inner or b"0")
+            got = [(pages.at, i) for i in range(start, min(sizes[pages.at], start + pages.left))]
+            page += got
+            end = start + len(got)
+            pages.ended(len(got), b"%d" % end if end < sizes[pages.at] else b"")
+        assert len(page) <= size
+        seen += page
+        cookie = pages.cookie()
+        if not cookie:
+            break
+    assert seen == [("own", i) for i in range(own)] + [(p, i) for p, n in enumerate(sizes) for i in range(n)]
+
+
+def test_a_cookie_of_another_search_is_refused():
+    first = Pages(identity_of(b"a"), 3, 2, 1, b"")
+    first.own()
+    cookie = first.cookie()
+    assert Pages(identity_of(b"a"), 3, 2, 1, cookie).own() == range(1, 2)
+    for identity, given_cookie in ((identity_of(b"b"), cookie), (identity_of(b"a"), b"x"), (identity_of(b"a"), b"\xff\x00")):
+        with pytest.raises(CookieError):
+            Pages(identity, 3, 2, 1, given_cookie)
+    last = Pages(identity_of(b"a"), 3, 0, 1, b"")
+    last.ended(1, b"")
+    with pytest.raises(CookieError, match="nowhere"):
+        Pages(identity_of(b"a"), 1, 0, 1, last.cookie())
+
+
+def kind(name, read, staleness=0, deadline=SECOND):
+    return RequestClass(name, deadline // 2, deadline, 1, 0, "safe", read=read, staleness_bound=staleness)
+
+
+def test_a_part_takes_the_strictest_of_the_classes_that_it_reaches():
+    kinds = [kind("wide", "bounded", 900), kind("tight", "bounded", 100, SECOND // 2), kind("own", "session"), kind("strict-read", "fresh", 0, 5 * SECOND), kind("all", "any")]
+    search = frozenset({"search"})
+    rules = (
+        Rule("wide", search, "ou=a,dc=x"), Rule("tight", search, "ou=t,ou=a,dc=x"),
+        Rule("wide", search, "ou=b,dc=x"), Rule("own", search, "ou=s,ou=b,dc=x"),
+        Rule("all", search, "ou=c,dc=x"), Rule("own", search, "ou=s,ou=c,dc=x", identities=frozenset({"cn=desk"})),
+    )  # fmt: skip
+    suffixes = {name: f"ou={name},dc=x" for name in "abc"}
+    made = Classifier(rules, suffixes, "strict-read", "strict-write", {k.name: k for k in kinds})
+
+    def place(base, scope, identity=""):
+        placed = made.place(m.SearchRequest(base, scope, PRESENT), identity)
+        return placed.class_name, placed.deadline
+
+    assert place("ou=a,dc=x", Scope.SUBTREE) == ("tight", SECOND // 2)
+    assert place("ou=a,dc=x", Scope.BASE) == ("wide", 0) and place("ou=t,ou=a,dc=x", Scope.SUBTREE) == ("tight", 0)
+    assert place("ou=b,dc=x", Scope.SUBTREE)[0] == place("ou=b,dc=x", Scope.ONE)[0] == "strict-read"
+    assert place("ou=c,dc=x", Scope.SUBTREE, "cn=desk")[0] == "own" and place("ou=c,dc=x", Scope.SUBTREE)[0] == "all"
--- a/yardbank/audit/judge.py
+++ b/yardbank/audit/judge.py
@@ -5,6 +5,7 @@
 from bisect import bisect_right
 from collections import defaultdict
 from dataclasses import dataclass, field
+from typing import Any
 
 from yardbank.audit.record import Fact
 
@@ -229,9 +230,10 @@
     wrote: dict[tuple[str, str], list[str]] = defaultdict(
         list
     )  # by session and group: change sequence numbers answered to it
-    need: dict[str, list[str]] = {}  # by read: what its session had been told of when it was sent
+    need: dict[tuple[str, str], list[str]] = {}  # by read and suffix: what its session had been told of by then
     received: dict[str, dict[str, float]] = defaultdict(dict)
-    shown: dict[str, tuple[Fact, int, list[float]]] = {}  # by read: the answer, the place reached, commit times
+    # By read and suffix: the answer, the place reached, commit times.
+    shown: dict[tuple[str, str], tuple[Fact, int, list[float]]] = {}
     primaries: dict[str, str] = {}
     deposed_unknown: set[str] = set()  # was primary, and has told no gateway yet that it is none
     for fact in facts:
@@ -249,44 +251,67 @@
             primaries[fact["suffix"]] = server
         elif kind == "sent":
             asked[tag] = fact
-            if fact.get("need", {}).get("read") == "session":
-                need[tag] = list(wrote[fact["need"]["session"], fact.get("suffix", "")])
+            for wants in _parts(fact):
+                if wants.get("read") == "session":
+                    need[tag, wants["suffix"]] = list(wrote[wants["session"], wants["suffix"]])
         elif kind == "received":
             received[tag][server] = fact["at"]
         elif kind == "answered":
             if fact["code"] == REFERRAL or (fact.get("op") == "probe" and fact.get("role") == "copy"):
                 deposed_unknown.discard(server)
-            if "last" in fact and tag in asked and "suffix" in asked[tag]:
-                log = logs[asked[tag]["suffix"]]
-                excused = server in deposed_unknown
-                shown[tag] = ({**fact, "excused": excused}, log.place.get(fact["last"], 0), list(log.at[-200:]))
-                shown[tag][0]["total"] = len(log.at)
+            if "last" in fact and tag in asked:
+                suffix = next((p["suffix"] for p in _parts(asked[tag]) if p["suffix"] == fact.get("suffix")), None)
+                if suffix is not None:
+                    log = logs[suffix]
+                    seen = {**fact, "excused": server in deposed_unknown, "total": len(log.at)}
+                    shown[tag, suffix] = (seen, log.place.get(fact["last"], 0), list(log.at[-200:]))
         elif kind == "answer" and outcome(fact["code"]) == "served" and tag in asked:
             wants = asked[tag].get("need", {})
             if wants.get("read") == "write":
                 if fact["code"] == SUCCESS and tag in csn_of and wants.get("session"):
                     wrote[wants["session"], asked[tag].get("suffix", "")].append(csn_of[tag])
                 continue
-            if tag not in shown:
-                continue
-            rule.judged += 1
-            answer, place, recent = shown[tag]
-            if answer["excused"]:
-                continue
-            log = logs[asked[tag]["suffix"]]
-            if wants.get("read") == "session":
-                lacks = [csn for csn in need.get(tag, ()) if csn not in log.lost and log.place[csn] > place]
-                if lacks:
-                    rule.found.append(f"lacks the session's write {lacks[-1]}: {_frame(asked[tag])}; {_frame(answer)}")
-                continue
-            if wants.get("read") not in ("bounded", "fresh"):
-                continue
-            since = asked[tag]["at"] if wants["read"] == "fresh" else (
-                received[tag].get(answer["server"], answer["at"]) - wants["staleness"]
-            )  # fmt: skip
-            older = answer["total"] - len(recent) + bisect_right(recent, since)
-            if older > place:
-                rule.found.append(
-                    f"lacks {older - place} commits that it must have: {_frame(asked[tag])}; {_frame(answer)}"
-                )
+            for part in _parts(asked[tag]):
+                key = tag, part["suffix"]
+                if key in shown:
+                    rule.judged += 1
+                    lacks = need.get(key, [])
+                    rule.found += _staleness(part, asked[tag], shown[key], logs[part["suffix"]], lacks, received[tag])
+                elif "parts" in wants and fact["code"] == SUCCESS:
+                    rule.found.append(f"success though {part['suffix']} was not asked: {_frame(asked[tag])}")
     return rule
+
+
+def _parts(asked: Fact) -> list[dict[str, Any]]:
+    """What a request needs, suffix by suffix; a search that spans groups has a part for each."""
+    wants = asked.get("need", {})
+    if "parts" in wants:
+        return list(wants["parts"])
+    return [{**wants, "suffix": asked["suffix"]}] if "suffix" in asked else []
+
+
+def _staleness(
+    wants: dict[str, Any],
+    asked: Fact,
+    shown: tuple[Fact, int, list[float]],
+    log: _Log,
+    needed: list[str],
+    received: dict[str, float],
+) -> list[str]:
+    """What one part's answer lacks of what its class must show."""
+    answer, place, recent = shown
+    if answer["excused"]:
+        return []
+    if wants.get("read") == "session":
+        lacks = [csn for csn in needed if csn not in log.lost and log.place[csn] > place]
+        return [f"lacks the session's write {lacks[-1]}: {_frame(asked)}; {_frame(answer)}"] if lacks else []
+    if wants.get("read") not in ("bounded", "fresh"):
+        return []
+    if wants["read"] == "fresh":
+        since = asked["at"]
+    else:
+        since = received.get(answer["server"], answer["at"]) - wants["staleness"]
+    older = answer["total"] - len(recent) + bisect_right(recent, since)
+    if older <= place:
+        return []
+    return [f"lacks {older - place} commits that it must have: {_frame(asked)}; {_frame(answer)}"]
--- a/yardbank/config/build.py
+++ b/yardbank/config/build.py
@@ -82,8 +82,9 @@
         for kind in config.classes
         for match in kind.match
     )
-    suffixes = {group.name: filters.fold(group.suffix) for group in config.group}
-    return Classifier(rules, suffixes, STRICT_READ, STRICT_WRITE)
+    suffixes = {group.name: group.suffix for group in config.group}
+    classes = {kind.name: kind for kind in request_classes(config)}
+    return Classifier(rules, suffixes, STRICT_READ, STRICT_WRITE, classes)
 
 
 def front_options(config: Config, listener: Listener) -> FrontOptions:
@@ -97,6 +98,8 @@
         max_outstanding=listener.max_outstanding,
         max_unread=listener.max_unread,
         max_connections=listener.max_connections,
+        parts=listener.parts,
+        parts_memory=listener.parts_memory,
     )
 
 
--- a/yardbank/config/schema.py
+++ b/yardbank/config/schema.py
@@ -48,6 +48,8 @@
     max_outstanding: Annotated[int, Field(gt=0, strict=True)] = 1000
     max_unread: Annotated[int, Field(gt=0, strict=True)] = 4 << 20
     max_connections: Annotated[int, Field(gt=0, strict=True)] = 50_000
+    parts: Annotated[int, Field(gt=0, le=1000, strict=True)] = 16  # of searches that span groups, out at once
+    parts_memory: Annotated[int, Field(ge=4096, strict=True)] = 4 << 20  # octets kept of all parts together
 
 
 class BackendBlock(Model):
@@ -132,8 +134,8 @@
             if word not in known:
                 raise ValueError(f"operation: '{word}' is none of {', '.join(sorted(known))}")
         for word in self.scope:
-            if word not in ("base", "one", "sub"):
-                raise ValueError(f"scope: '{word}' is none of base, one, sub")
+            if word not in ("base", "one", "sub", "subordinate"):
+                raise ValueError(f"scope: '{word}' is none of base, one, sub, subordinate")
         return self
 
 
--- a/yardbank/gateway/api.py
+++ b/yardbank/gateway/api.py
@@ -98,6 +98,7 @@
     tenant: str | None = None
     since_write: int | None = None
     time_limit: int = 0  # the client's own, ns; 0: the class's deadline alone
+    gather: int = 0  # octets of the answer kept back; 0: the gateway's own bound
     label: str = ""  # for the log
     facts: Mapping[str, Any] = field(default_factory=dict)
 
--- a/yardbank/gateway/ending.py
+++ b/yardbank/gateway/ending.py
@@ -19,3 +19,8 @@
 def allowance(kind: RequestClass, time_limit: int) -> int:
     """How long a request may take (ns): its class's deadline, cut to the client's own time limit."""
     return min(kind.deadline, time_limit) if time_limit > 0 else kind.deadline
+
+
+def strained(owed: int, most: int) -> bool:
+    """Whether a gateway is close enough to its bound of open requests that what is worth more goes first."""
+    return owed * 2 > most
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -20,7 +20,7 @@
 from yardbank.gateway.api import SECOND, Backend, Call, Limits, Position, Reply, ServerSpec
 from yardbank.gateway.clock import SteadyClock, started_at
 from yardbank.gateway.deadlines import Deadlines
-from yardbank.gateway.ending import NEVER_RAN, allowance, may_be_refused
+from yardbank.gateway.ending import NEVER_RAN, allowance, may_be_refused, strained
 from yardbank.gateway.link import Attempt, Way
 from yardbank.gateway.positions import Positions
 from yardbank.policy import Router
@@ -122,10 +122,24 @@
         """Names of the groups that servers were listed for."""
         return frozenset(self._groups)
 
+    @property
+    def strained(self) -> bool:
+        """Whether the bound of open requests is near."""
+        return strained(self._owed, self.limits.max_open)
+
     def now(self) -> int:
         """The gateway's clock, ns."""
         return self._clock.now()
 
+    def kind(self, class_name: str) -> api.RequestClass:
+        """A class by its name."""
+        return self._kinds[class_name]
+
+    def call_at(self, at: int, fire: Callable[[], None]) -> Callable[[], None]:
+        """Call back at an instant (ns); the result calls it off. For fronts: no timer of their own each."""
+        number = self._deadlines.add(at, fire)
+        return lambda: self._deadlines.cancel(number)
+
     def restarted(self, floor_now: bool, floors: Mapping[str, Mapping[str, Mark]]) -> None:
         """An earlier run's tokens are lost; call before the first list. ``floors``: marks by origin, by group."""
         self._floor_now, self._floors = self._clock.now() if floor_now else 0, dict(floors)
@@ -418,7 +432,7 @@
         parts = request.parts.setdefault(number, [])
         parts.append(payload)
         request.gathered[number] = request.gathered.get(number, 0) + size
-        if request.gathered[number] > self.limits.gather:
+        if request.gathered[number] > (request.call.gather or self.limits.gather):
             request.answering = number
             del request.parts[number]
             self._handle(api.Started(request.id))
--- a/yardbank/lab/client.py
+++ b/yardbank/lab/client.py
@@ -28,6 +28,7 @@
     code: int
     diagnostic: str = ""
     entries: list[m.SearchEntry] = field(default_factory=list)
+    references: list[tuple[str, ...]] = field(default_factory=list)
     controls: tuple[m.Control, ...] = ()
     result: m.Result | None = None
 
@@ -98,6 +99,8 @@
             operation = codec.decode_operation(event.raw.operation)
             if isinstance(operation, m.SearchEntry):
                 asked.answer.entries.append(operation)
+            elif isinstance(operation, m.SearchReference):
+                asked.answer.references.append(operation.uris)
             if not event.final:
                 continue
             del self._asked[event.id]
--- a/yardbank/lab/world.py
+++ b/yardbank/lab/world.py
@@ -9,7 +9,7 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -129,7 +129,14 @@
         extra: str = "",
         session_by: str = "connection",
         durable: bool = True,
+        groups: Mapping[str, str] | None = None,
+        members: Mapping[str, Sequence[tuple[str, str]]] | None = None,
+        classes: str = _CLASSES,
+        listener: str = "",
     ) -> None:
+        """``groups``: suffixes by name; ``members``: names and zones of each; ``listener``: more lines of it."""
+        self.groups, self.members = dict(groups or GROUPS), dict(members or MEMBERS)
+        self._classes, self._listener = classes, listener
         self.reactor, self.record, self.seed, self.daemon = reactor, record, seed, daemon
         self.capacity = capacity or Capacity()
         self._router, self._extra = router, extra
@@ -139,9 +146,9 @@
         self.states: dict[str, str] = {}
         self.listed_primary: dict[str, str] = {}
         bind = (GATEWAY_DN, GATEWAY_PASSWORD)
-        for group, members in MEMBERS.items():
-            names = [name for name, _ in members]
-            cluster = Cluster(GROUPS[group], names, reactor.seconds, reactor.callLater, timing, record)
+        for group, placed in self.members.items():
+            names = [name for name, _ in placed]
+            cluster = Cluster(self.groups[group], names, reactor.seconds, reactor.callLater, timing, record)
             self.clusters[group] = cluster
             for name in names:
                 self.servers[name] = Standin(
@@ -160,13 +167,13 @@
     def load(self, entries: int) -> None:
         """The same entries in every member."""
         for group, cluster in self.clusters.items():
-            suffix = GROUPS[group]
+            suffix = self.groups[group]
             cluster.load([_device(number, suffix) for number in range(entries)])
 
     def settings(self) -> str:
         """The settings file as the operator would write it now."""
         parts = [
-            f'listener "ldap" {{\n  port = {self.port}\n  session = "{self.session_by}"\n}}',
+            f'listener "ldap" {{\n  port = {self.port}\n  session = "{self.session_by}"\n{self._listener}}}',
             f'gateway {{\n  zone = "norte"\n  gateways = 1\n  seed = {self.seed}\n'
             f'  cold = "{self.capacity.cold_s}s"\n  cold_share = {self.capacity.cold_share}\n}}',
             f'backend "ldap" {{\n  bind_dn = "{GATEWAY_DN}"\n  bind_password = "{GATEWAY_PASSWORD}"\n'
@@ -174,14 +181,14 @@
             f'identity "{DESK_DN}" {{\n  password = "{DESK_PASSWORD}"\n}}',
             'logging {\n  level = "warning"\n  format = "json"\n}',
             self._extra,
-            _CLASSES,
+            self._classes,
         ]
         if self.watched is not None:
             parts.append(f'membership {{\n  path = "{self.watched}"\n}}')
             if self.durable:
                 parts.append(f'state {{\n  path = "{self.watched.parent / "state"}"\n}}')
-        for group, members in MEMBERS.items():
-            parts.append(f'group "{group}" {{\n  suffix = "{GROUPS[group]}"\n}}')
+        for group, members in self.members.items():
+            parts.append(f'group "{group}" {{\n  suffix = "{self.groups[group]}"\n}}')
             for name, zone in members:
                 if self.states[name] == "gone" or self.watched is not None:
                     continue
--- a/yardbank/ldap/classify.py
+++ b/yardbank/ldap/classify.py
@@ -9,11 +9,13 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from yardbank.interface import RequestClass
 from yardbank.ldap import filters
 from yardbank.ldap import messages as m
+from yardbank.spread.tree import Tree
 
 READS, WRITES = ("search", "compare"), ("add", "delete", "modify", "modifydn", "passwd")
-SCOPES = {"base": m.Scope.BASE, "one": m.Scope.ONE, "sub": m.Scope.SUBTREE}
+SCOPES = {"base": m.Scope.BASE, "one": m.Scope.ONE, "sub": m.Scope.SUBTREE, "subordinate": m.Scope.SUBORDINATE}
 
 
 @dataclass(slots=True, frozen=True)
@@ -35,11 +37,12 @@
 
 @dataclass(slots=True)
 class Placed:
-    """Where an operation belongs; ``group`` None: under no group's suffix, or above several."""
+    """Where an operation belongs; ``group`` None: under no group's suffix."""
 
     class_name: str
     group: str | None
     why: str
+    deadline: int = 0  # the shortest of several classes that a search reaches, ns; 0: the class's own
 
 
 def operation_name(operation: m.Request) -> str:
@@ -70,29 +73,72 @@
     """Rules of one settings file, narrowest first."""
 
     def __init__(
-        self, rules: tuple[Rule, ...], suffixes: Mapping[str, str], strict_read: str, strict_write: str
+        self,
+        rules: tuple[Rule, ...],
+        suffixes: Mapping[str, str],
+        strict_read: str,
+        strict_write: str,
+        classes: Mapping[str, RequestClass] | None = None,
     ) -> None:
+        """``suffixes`` by group, as written; ``classes`` let a search that reaches several take the strictest."""
         self._rules = rules
-        self._suffixes = sorted(((suffix, name) for name, suffix in suffixes.items()), key=lambda s: -len(s[0]))
+        self.tree = Tree(suffixes)
         self._by_attribute = any(rule.attributes for rule in rules)
         self._strict = {True: strict_read, False: strict_write}
+        self._classes = classes or {}
+        self._deep = tuple(
+            (rule, self.tree.holder(rule.base)) for rule in rules if rule.base and "search" in rule.operations
+        )
 
     def group_of(self, entry: str) -> str | None:
         """The group whose suffix holds an entry; the longest suffix wins."""
-        return next((name for suffix, name in self._suffixes if filters.under(entry, suffix)), None)
+        return self.tree.holder(entry)
 
     def place(self, operation: m.Request, identity: str = "", entry: str | None = None) -> Placed:
         """Class and group of one operation under a folded bind name."""
         entry = entry_of(operation) if entry is None else entry
         name, group = operation_name(operation), self.group_of(entry)
-        scope, attributes = -1, frozenset[str]()
         if isinstance(operation, m.SearchRequest):
-            scope = operation.scope
-            if self._by_attribute:
-                attributes = filters.attributes_of(operation.filter)
-            if group is None and scope != m.Scope.BASE and len(self._suffixes) == 1:
-                suffix, only = self._suffixes[0]  # a search from above the one group there is
-                group = only if filters.under(suffix, entry) else None
+            return self.place_search(group, entry, operation, operation.scope, identity)
+        return self._place(name, group, entry, identity, -1, frozenset())
+
+    def place_search(
+        self, group: str | None, base: str, request: m.SearchRequest, scope: int, identity: str = ""
+    ) -> Placed:
+        """Class of a search, or of a part of one, from a folded base."""
+        attributes = filters.attributes_of(request.filter) if self._by_attribute else frozenset[str]()
+        placed = self._place("search", group, base, identity, scope, attributes)
+        if scope == m.Scope.BASE or not self._classes:
+            return placed
+        below = {
+            rule.class_name
+            for rule, holder in self._deep
+            if rule.base != base
+            and holder == group
+            and (filters.under(rule.base, base) if scope != m.Scope.ONE else filters.parent(rule.base) == base)
+            and (not rule.attributes or rule.attributes & attributes)
+            and (not rule.identities or identity in rule.identities)
+        }
+        below.discard(placed.class_name)
+        return self._joined(placed, below) if below else placed
+
+    def _joined(self, placed: Placed, others: set[str]) -> Placed:
+        """One class for a search whose entries are of several: no staler, no slower than any allows."""
+        kinds = [self._classes[name] for name in sorted({placed.class_name, *others})]
+        needs = {kind.read for kind in kinds} - {"any"}
+        if len(needs) > 1 or "fresh" in needs:  # a session's writes and an age are no measure of each other
+            name = next((kind.name for kind in kinds if kind.read == "fresh"), self._strict[True])
+        elif not needs:
+            name = placed.class_name
+        else:
+            of_need = [kind for kind in kinds if kind.read in needs]
+            name = min(of_need, key=lambda kind: (kind.staleness_bound, kind.deadline, kind.name)).name
+        deadline = min(kind.deadline for kind in kinds)
+        return Placed(name, placed.group, "the strictest of the classes that it reaches", deadline)
+
+    def _place(
+        self, name: str, group: str | None, entry: str, identity: str, scope: int, attributes: frozenset[str]
+    ) -> Placed:
         fit = [
             rule
             for rule in self._rules
--- a/yardbank/ldap/codec.py
+++ b/yardbank/ldap/codec.py
@@ -123,6 +123,32 @@
     return tlv(SEQUENCE, body)
 
 
+def entry_name(data: bytes) -> str:
+    """The name in a SearchResultEntry, the rest left unread."""
+    _, start, stop = header(data, 0, len(data))
+    low, high = expect(data, start, stop, OCTETS, "objectName")
+    return text(data, low, high, "objectName")
+
+
+def paged_value(size: int, cookie: bytes) -> bytes:
+    """The value of a paged results control (RFC 2696 section 2)."""
+    return tlv(SEQUENCE, integer(size) + tlv(OCTETS, cookie))
+
+
+def read_paged_value(value: bytes) -> tuple[int, bytes]:
+    """Size and cookie. Raises ``BerError``."""
+    low, high = expect(value, 0, len(value), SEQUENCE, "pagedResults")
+    first, last = expect(value, low, high, INTEGER, "size")
+    size = read_integer(value, first, last, "size")
+    first, last = expect(value, last, high, OCTETS, "cookie")
+    return size, value[first:last]
+
+
+def sort_result(code: int) -> bytes:
+    """The value of a sort response control (RFC 2891 section 1.2)."""
+    return tlv(SEQUENCE, integer(code, ENUMERATED))
+
+
 def encode_operation(operation: m.Operation) -> bytes:
     """The bytes of a protocolOp, tag included."""
     writer: Callable[[Any], bytes] = _WRITERS[type(operation)]
--- a/yardbank/ldap/front.py
+++ b/yardbank/ldap/front.py
@@ -21,7 +21,11 @@
 from yardbank.ldap.ber import SEQUENCE, BerError, expect, header, text
 from yardbank.ldap.classify import Classifier, entry_of
 from yardbank.ldap.exchange import Exchange, prepare
+from yardbank.ldap.match import matches
+from yardbank.ldap.spread import SORTED, Fan, Search, spans
 from yardbank.ldap.state import Abandoned, Asked, Broken, Closed, ServerEnd, notice_of_disconnection
+from yardbank.spread import Reach
+from yardbank.spread.tree import glue_attributes
 
 PRE_READ = "1.3.6.1.1.13.1"
 PASSED_ON = frozenset((m.Oid.POST_READ, PRE_READ, m.Oid.ASSERTION, m.Oid.MANAGE_DSA_IT, m.Oid.PAGED_RESULTS))
@@ -40,6 +44,8 @@
     max_outstanding: int = 1000
     max_unread: int = 4 << 20  # octets kept for a client that does not read
     max_connections: int = 50_000
+    parts: int = 16  # of searches that span groups, out at once for one client
+    parts_memory: int = 4 << 20  # octets kept back of all of them
 
 
 class _Answer:
@@ -83,10 +89,16 @@
         self._number = number
         self._end = ServerEnd(factory.options.max_message, factory.options.max_outstanding)
         self._identity = ""
-        self._requests: dict[int, str] = {}  # the gateway's number by message ID
+        self._requests: dict[int, str | Search] = {}  # by message ID: the gateway's number, or a search of many parts
         self._tags: dict[int, int] = {}  # the tag of the answer that each is owed
         self._unread: int | None = None  # octets written since the client stopped reading; None: it reads
         self._closing = False
+        self._fan: Fan | None = None  # made at the first search that spans groups
+
+    @property
+    def reading(self) -> bool:
+        """Whether the client takes what is written to it."""
+        return self._unread is None
 
     @property
     def _options(self) -> FrontOptions:
@@ -121,9 +133,9 @@
                         self._factory.log.error("front_error", error=repr(problem), exc_info=True)
                         self._answer(event.message, m.Code.OTHER, "internal error")
                 case Abandoned(target):
-                    if number := self._requests.pop(target, None):
+                    if taken := self._requests.pop(target, None):
                         self._tags.pop(target, None)
-                        self.gateway.leave(number)
+                        self._leave(taken)
                 case Closed():
                     self._drop()
                     self._lose()
@@ -145,6 +157,8 @@
         self._unread = None
         if self.transport is not None and not self._closing:
             self.transport.resumeProducing()
+        if self._fan is not None:
+            self._fan.pump()
 
     def stopProducing(self) -> None:
         """The connection is over."""
@@ -171,8 +185,14 @@
     def _drop(self) -> None:
         self._end.close()
         requests, self._requests = self._requests, {}
-        for number in requests.values():
-            self.gateway.leave(number)
+        for taken in requests.values():
+            self._leave(taken)
+
+    def _leave(self, taken: str | Search) -> None:
+        if isinstance(taken, Search):
+            taken.leave()
+        else:
+            self.gateway.leave(taken)
 
     def close_when_done(self) -> None:
         """The gateway has stopped: say so and close."""
@@ -186,11 +206,11 @@
         """An entry, a reference or an intermediate response."""
         self._write(self._end.part(number, payload))
 
-    def finish(self, number: int, result: m.Result | codec.Envelope) -> None:
+    def finish(self, number: int, result: m.Result | codec.Envelope, controls: tuple[m.Control, ...] = ()) -> None:
         """The final answer to a routed request."""
         self._requests.pop(number, None)
         self._tags.pop(number, None)
-        self._write(self._end.final(number, result))
+        self._write(self._end.final(number, result, controls))
 
     def _answer(self, message: m.Message, code: int, reason: str = "", **more: Any) -> None:
         tag = m.RESPONSE_TAG[type(message.operation)]
@@ -206,7 +226,7 @@
         for control in message.controls:
             if control.oid == m.Oid.PROXIED_AUTHORIZATION:  # would borrow the gateway's own rights
                 return self._answer(message, m.Code.INSUFFICIENT_ACCESS, "proxied authorization is not allowed")
-            if control.critical and control.oid not in PASSED_ON:
+            if control.critical and control.oid not in PASSED_ON and control.oid not in SORTED:
                 reason = f"control {control.oid} is not supported"
                 return self._answer(message, m.Code.UNAVAILABLE_CRITICAL_EXTENSION, reason)
         entry = None
@@ -219,21 +239,27 @@
         if not self._identity and not self._options.anonymous:
             return self._answer(message, m.Code.INSUFFICIENT_ACCESS, "bind first")
         assert not isinstance(operation, m.Response)
+        tree = self._factory.classifier.tree
+        if isinstance(operation, m.SearchRequest) and (reach := spans(tree, operation, filters.fold(operation.base))):
+            return self._search_many(message, operation, raw, reach)
+        if any(control.critical and control.oid in SORTED for control in message.controls):
+            reason = "entries cannot be sorted here"
+            return self._answer(message, m.Code.UNAVAILABLE_CRITICAL_EXTENSION, reason)
+        if isinstance(operation, m.ModifyDNRequest) and self._moves_between_groups(operation):
+            return self._answer(message, m.Code.AFFECTS_MULTIPLE_DSAS, "the entry would leave its group")
         placed = self._factory.classifier.place(operation, self._identity, entry)
         if placed.group is None:
-            name = entry_of(operation) if entry is None else entry
-            return self._answer(message, m.Code.NO_SUCH_OBJECT, f"no group holds {name!r}")
+            return self._unheld(message, operation, entry_of(operation) if entry is None else entry)
         exchange = prepare(message, raw)
         limit = operation.time_limit * SECOND if isinstance(operation, m.SearchRequest) else 0
         until = self.gateway.now() + limit if limit else 0
         sink = _Answer(self, message.id, exchange, until)
-        by_identity = self._options.session_by == "identity" and self._identity
         call = Call(
             class_name=placed.class_name,
             group=placed.group,
             operation=exchange,
             sink=sink,
-            session=self._identity if by_identity else f"#{self._number}",
+            session=self._session,
             time_limit=limit,
         )
         self._requests[message.id] = ""
@@ -243,10 +269,67 @@
             self._requests[message.id] = number
         return None
 
+    @property
+    def _session(self) -> str:
+        by_identity = self._options.session_by == "identity" and self._identity
+        return self._identity if by_identity else f"#{self._number}"
+
+    def _moves_between_groups(self, request: m.ModifyDNRequest) -> bool:
+        """Whether an entry, or entries below it, would come to lie in another group (RFC 4511 section 4.9)."""
+        tree, entry = self._factory.classifier.tree, filters.fold(request.entry)
+        superior = filters.parent(entry) if request.new_superior is None else filters.fold(request.new_superior)
+        new = ",".join(filter(None, (filters.fold(request.new_rdn), superior)))
+        return tree.holder(entry) != tree.holder(new) or (
+            tree.holder(entry) is not None and (tree.divided(entry) or tree.divided(new))
+        )
+
+    def _unheld(self, message: m.Message, operation: m.Request, entry: str) -> None:
+        """What is asked of a name that no group holds: a glue entry, or none at all."""
+        tree = self._factory.classifier.tree
+        written = tree.glue(entry)
+        if written is None:
+            matched = tree.matched(entry)
+            return self._answer(message, m.Code.NO_SUCH_OBJECT, f"no group holds {entry!r}", matched=matched)
+        if isinstance(operation, m.CompareRequest):
+            held = {name.lower() for name, _ in glue_attributes(written)}
+            if operation.attribute.lower() not in held:
+                return self._answer(message, m.Code.NO_SUCH_ATTRIBUTE)
+            wanted = m.Match("=", operation.attribute, operation.value)
+            values = {name.lower(): values for name, values in glue_attributes(written)}
+            found = matches(wanted, lambda name: values.get(name.lower(), ()))
+            return self._answer(message, m.Code.COMPARE_TRUE if found else m.Code.COMPARE_FALSE)
+        if isinstance(operation, m.AddRequest):
+            return self._answer(message, m.Code.ENTRY_EXISTS)
+        if isinstance(operation, m.DeleteRequest):
+            return self._answer(message, m.Code.NOT_ALLOWED_ON_NON_LEAF)
+        return self._answer(message, m.Code.UNWILLING, f"{written!r} stands above the groups and cannot be changed")
+
+    def _search_many(self, message: m.Message, request: m.SearchRequest, raw: codec.Envelope, reach: Reach) -> None:
+        """A search that spans groups."""
+        if any(control.critical and control.oid in SORTED for control in message.controls):
+            reason = "entries of several groups cannot be sorted here"
+            return self._answer(message, m.Code.UNWILLING, reason)
+        classifier = self._factory.classifier
+        if self._fan is None:
+            self._fan = Fan(self, self._options.parts, self._options.parts_memory)
+        parts = [
+            (piece, classifier.place_search(piece.group, piece.base, request, piece.scope, self._identity))
+            for piece in reach.pieces
+        ]
+        search = Search(self._fan, message, request, parts, self._session)
+        self._requests[message.id] = search
+        self._tags[message.id] = m.Tag.DONE
+        try:
+            search.start(reach.glue, classifier.tree, raw)
+        except Exception:  # a control that makes no sense: nothing of the search may go on
+            search.leave()
+            raise
+        return None
+
     def _bind(self, message: m.Message, request: m.BindRequest) -> None:
         if self._end.outstanding - {message.id}:  # section 4.2.1: a bind ends all that went before it
             for other in list(self._requests):
-                self.gateway.leave(self._requests.pop(other))
+                self._leave(self._requests.pop(other))
                 self._end.final(other, m.Result(self._tags.pop(other), m.Code.OTHER))
         self._identity = ""
         if request.version != 3:
@@ -279,10 +362,10 @@
 
     def _cancel(self, message: m.Message, target: int) -> None:
         """RFC 3909: unlike Abandon, both operations are answered."""
-        number = self._requests.pop(target, None)
-        if number is None:
+        taken = self._requests.pop(target, None)
+        if taken is None:
             return self._answer(message, m.Code.NO_SUCH_OPERATION)
-        self.gateway.leave(number)
+        self._leave(taken)
         self._write(self._end.final(target, m.Result(self._tags.pop(target), m.Code.CANCELED)))
         return self._answer(message, m.Code.SUCCESS)
 
--- a/yardbank/ldap/messages.py
+++ b/yardbank/ldap/messages.py
@@ -31,6 +31,7 @@
     UNWILLING = 53
     NOT_ALLOWED_ON_NON_LEAF = 66
     ENTRY_EXISTS = 68
+    AFFECTS_MULTIPLE_DSAS = 71
     OTHER = 80
     CANCELED = 118
     NO_SUCH_OPERATION = 119
@@ -52,6 +53,9 @@
     PROXIED_AUTHORIZATION = "2.16.840.1.113730.3.4.18"  # RFC 4370
     MANAGE_DSA_IT = "2.16.840.1.113730.3.4.2"  # RFC 3296
     PAGED_RESULTS = "1.2.840.113556.1.4.319"  # RFC 2696
+    SORT = "1.2.840.113556.1.4.473"  # RFC 2891
+    SORT_RESULT = "1.2.840.113556.1.4.474"
+    VIRTUAL_LIST = "2.16.840.1.113730.3.4.9"
 
 
 class Scope(IntEnum):
@@ -60,6 +64,7 @@
     BASE = 0
     ONE = 1
     SUBTREE = 2
+    SUBORDINATE = 3  # the subtree without its base (as OpenLDAP and others serve it)
 
 
 @dataclass(slots=True, frozen=True)
--- a/yardbank/standin/directory.py
+++ b/yardbank/standin/directory.py
@@ -6,6 +6,7 @@
 
 from yardbank.ldap import filters
 from yardbank.ldap import messages as m
+from yardbank.ldap.match import matches, wanted_attributes, without_values
 
 
 @dataclass(slots=True)
@@ -145,7 +146,9 @@
             keys = [key for key in self.entries if filters.parent(key) == base]
         else:
             keys = [key for key in self.entries if filters.under(key, base)]
-        return OK, [self.entries[key] for key in keys if matches(request.filter, self.entries[key])]
+            if request.scope == m.Scope.SUBORDINATE:
+                keys.remove(base)
+        return OK, [self.entries[key] for key in keys if matches(request.filter, self.entries[key].values)]
 
     def compare(self, request: m.CompareRequest) -> Outcome:
         """Whether an entry holds a value."""
@@ -159,66 +162,12 @@
         return (m.Code.COMPARE_TRUE if found else m.Code.COMPARE_FALSE), ""
 
 
-def matches(wanted: m.Filter, entry: Entry) -> bool:
-    """Whether a filter finds an entry; undefined counts as false (RFC 4511 section 4.5.1.7)."""
-    match wanted:
-        case m.And(parts):
-            return all(matches(part, entry) for part in parts)
-        case m.Or(parts):
-            return any(matches(part, entry) for part in parts)
-        case m.Not(part):
-            return not matches(part, entry)
-        case m.Present(name):
-            return bool(entry.values(name))
-        case m.Match(rule, name, value):
-            low = value.lower()
-            held = [one.lower() for one in entry.values(name)]
-            if rule in ("=", "~="):
-                return low in held
-            return any(_ordered(one, low) if rule == ">=" else _ordered(low, one) for one in held)
-        case m.Substrings():
-            return any(_substrings(wanted, value.lower()) for value in entry.values(wanted.attribute))
-        case m.Extensible(_, name, value, _):
-            return name is not None and value.lower() in [one.lower() for one in entry.values(name)]
-    return False
-
-
-def _ordered(larger: bytes, smaller: bytes) -> bool:
-    if larger.isdigit() and smaller.isdigit():
-        return int(larger) >= int(smaller)
-    return larger >= smaller
-
-
-def _substrings(wanted: m.Substrings, value: bytes) -> bool:
-    at, end = 0, len(value)
-    if wanted.initial is not None:
-        if not value.startswith(wanted.initial.lower()):
-            return False
-        at = len(wanted.initial)
-    if wanted.final is not None:
-        if not value.endswith(wanted.final.lower()) or end - len(wanted.final) < at:
-            return False
-        end -= len(wanted.final)
-    for part in wanted.any:
-        found = value.find(part.lower(), at, end)
-        if found < 0:
-            return False
-        at = found + len(part)
-    return True
-
-
 def show(entry: Entry, request: m.SearchRequest, extra: m.Attributes = ()) -> m.SearchEntry:
     """An entry as a search asks to see it; ``extra`` are operational attributes."""
     asked = [name.lower() for name in request.attributes]
-    everything, operational = not asked or "*" in asked, "+" in asked
-    shown = [
-        (name, tuple(values))
-        for key, (name, values) in entry.attributes.items()
-        if values and (everything or key in asked)
-    ]
+    operational = "+" in asked
+    shown = wanted_attributes(tuple((name, tuple(values)) for name, values in entry.attributes.values()), request)
     if entry.csn and ("entrycsn" in asked or operational):
         shown.append(("entryCSN", (entry.csn.encode(),)))
     shown += [(name, values) for name, values in extra if values and (name.lower() in asked or operational)]
-    if request.types_only:
-        shown = [(name, ()) for name, _ in shown]
-    return m.SearchEntry(entry.dn, tuple(shown))
+    return m.SearchEntry(entry.dn, without_values(tuple(shown)) if request.types_only else tuple(shown))
--- a/yardbank/standin/server.py
+++ b/yardbank/standin/server.py
@@ -14,10 +14,10 @@
 
 from yardbank.ldap import codec, filters
 from yardbank.ldap import messages as m
-from yardbank.ldap.ber import INTEGER, OCTETS, SEQUENCE, expect, integer, tlv
+from yardbank.ldap.match import matches
 from yardbank.ldap.state import Abandoned, Asked, Broken, Closed, ServerEnd
 from yardbank.standin.cluster import Cluster, Record
-from yardbank.standin.directory import matches, show
+from yardbank.standin.directory import show
 
 TAG_CONTROL = "1.3.6.1.4.1.32473.1.1"  # under the arc for documentation: names a request in records
 _WRITES = (m.AddRequest, m.ModifyRequest, m.ModifyDNRequest, m.DeleteRequest)
@@ -302,14 +302,20 @@
             found, controls = _page(found, page)
         if request.size_limit and len(found) > request.size_limit:
             found, code = found[: request.size_limit], m.Code.SIZE_LIMIT
+        manage = any(c.oid == m.Oid.MANAGE_DSA_IT for c in job.message.controls)
         for entry in found:
+            if (uris := entry.values("ref")) and not manage:  # a continuation (RFC 3296 section 5.1)
+                raw = codec.encode_operation(m.SearchReference(tuple(uri.decode() for uri in uris)))
+                out.append(self.end.part(job.message.id, codec.Envelope(0, m.Tag.REFERENCE, raw, b"")))
+                continue
             extra: m.Attributes = ()
             if filters.fold(entry.dn) == server.member.directory.suffix:
                 marks = tuple(value.encode() for value in server.member.context.values())
                 extra = (("contextCSN", marks), ("replicationRole", (role.encode(),)))
             raw = codec.encode_operation(show(entry, request, extra))
             out.append(self.end.part(job.message.id, codec.Envelope(0, m.Tag.ENTRY, raw, b"")))
-        self.finish(job, code, text, controls, b"".join(out), last=server.member.last, role=role)
+        self.finish(job, code, text, controls, b"".join(out), last=server.member.last, role=role,
+                    suffix=cluster.suffix)  # fmt: skip
 
     def _write(self, job: _Job, request: m.Request) -> None:
         server, cluster = self.server, self.server.cluster
@@ -323,7 +329,7 @@
         assertion = next((c for c in job.message.controls if c.oid == m.Oid.ASSERTION), None)
         entry = server.member.directory.entries.get(filters.fold(getattr(request, "entry", "")))
         if assertion is not None and entry is not None:
-            if not matches(codec.decode_bare_filter(assertion.value or b""), entry):
+            if not matches(codec.decode_bare_filter(assertion.value or b""), entry.values):
                 self.finish(job, m.Code.ASSERTION_FAILED)
                 return
         (code, text), number = cluster.commit(server.name, request, job.tag)
@@ -396,13 +402,9 @@
 
 def _page(found: list[Any], control: m.Control) -> tuple[list[Any], tuple[m.Control, ...]]:
     """One page (RFC 2696); the cookie is where the next one begins, so any copy can go on with it."""
-    value = control.value or b""
-    low, high = expect(value, 0, len(value), SEQUENCE, "pagedResults")
-    first, last = expect(value, low, high, INTEGER, "size")
-    size = int.from_bytes(value[first:last], "big")
-    first, last = expect(value, last, high, OCTETS, "cookie")
-    start = int(value[first:last] or b"0")
+    size, given = codec.read_paged_value(control.value or b"")
+    start = int(given or b"0")
     rest = start + size
     cookie = str(rest).encode() if size > 0 and rest < len(found) else b""
-    body = tlv(SEQUENCE, integer(0) + tlv(OCTETS, cookie))
-    return found[start:rest] if size else found, (m.Control(m.Oid.PAGED_RESULTS, False, body),)
+    made = m.Control(m.Oid.PAGED_RESULTS, False, codec.paged_value(0, cookie))
+    return found[start:rest] if size else found, (made,)
