--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -7,6 +7,7 @@
 from yardbank import interface as api
 from yardbank.audit import judge
 from yardbank.audit.judge import Bounds
+from yardbank.audit.summary import by_class
 from yardbank.cli import main
 from yardbank.ldap import messages as m
 from yardbank.policy import Router
@@ -181,3 +182,21 @@
     assert done.exit_code == 2 and "record.jsonl:2: 'tag' is missing" in done.output
     record.write_text(sent + answer + '{"at":3,"ki')  # its writer was killed
     assert CliRunner().invoke(main, ["audit", str(record)]).exit_code == 0
+
+
+def test_the_table_by_class_tells_where_reads_went_and_which_were_held():
+    facts = [
+        {"kind": "sent", "tag": "a", "at": 0.0, "need": {"read": "session", "request_class": "status"}},
+        {"kind": "received", "tag": "a", "at": 0.05, "server": "r1"},
+        {"kind": "answered", "tag": "a", "at": 0.06, "server": "r1", "role": "primary", "code": 0},
+        {"kind": "answer", "tag": "a", "at": 0.07, "code": 0},
+        {"kind": "sent", "tag": "b", "at": 1.0, "need": {"read": "session", "request_class": "status"}},
+        {"kind": "received", "tag": "b", "at": 1.001, "server": "r2"},
+        {"kind": "answered", "tag": "b", "at": 1.002, "server": "r2", "role": "copy", "code": 0},
+        {"kind": "answer", "tag": "b", "at": 1.003, "code": 0},
+        {"kind": "sent", "tag": "c", "at": 2.0, "need": {"read": "write"}},
+        {"kind": "answer", "tag": "c", "at": 2.5, "code": 51},
+    ]
+    status, write = by_class(facts)
+    assert (status.name, status.asked, status.served, status.by_copy, status.by_primary, status.waited) == ("status", 2, 2, 1, 1, 1)
+    assert status.quantile(0.99) == pytest.approx(0.07) and (write.asked, write.served, write.quantile(0.5)) == (1, 0, 0.0)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -8,7 +8,7 @@
 from click.testing import CliRunner
 
 from yardbank.cli import main
-from yardbank.config import ConfigError, build, load_text
+from yardbank.config import ConfigError, advice, build, load_text
 from yardbank.ldap import filters
 from yardbank.ldap import messages as m
 from yardbank.ldap.classify import Classifier, Rule, operation_name
@@ -147,3 +147,15 @@
     assert place("cn=1,ou=deep,dc=x").group == "deep" and place("ou=deeper,dc=x").group == "x"
     assert place("dc=y").group is None
     assert operation_name(m.ExtendedRequest("1.2.3")) == "extended"
+
+
+def test_what_is_written_and_only_read_as_it_was_is_warned_of():
+    result = CliRunner().invoke(main, ["check", str(EXAMPLE)])
+    assert result.exit_code == 0 and result.output.count("Warning:") == 1
+    assert 'class "route-lookup": ou=numbers,dc=porting is written as port-commit' in result.output.replace("\n", " ")
+    quiet = TEXT.replace('read      = "bounded"\n  staleness = "800ms"', 'read      = "session"')
+    assert advice.warnings(load_text(quiet)) == []
+    apart = TEXT.replace('base      = "dc=porting"', 'base      = "ou=requests,dc=porting"')
+    assert advice.warnings(load_text(apart)) == []
+    any_member = TEXT.replace('read      = "bounded"\n  staleness = "800ms"', 'read      = "any"')
+    assert "from any member" in advice.warnings(load_text(any_member))[0]
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -13,7 +13,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import gatherResults
 
-from tests.net import Desk, ensure_reactor, run, until, world
+from tests.net import Desk, ensure_reactor, run, shown, until, world
 from yardbank.daemon.restarts import Restarts
 from yardbank.lab.client import connect
 from yardbank.lab.world import DESK_DN, DESK_PASSWORD
@@ -147,6 +147,10 @@
     assert found["held"] and len(found["troubles"]) == 20
     assert all(rule["held"] and rule["judged"] > 0 for rule in found["rules"].values())
     assert found["answers"]["served"] > 300
+    rows = {row["class"]: row for row in found["classes"]}
+    assert rows["request-status"]["from_copies"] > 0 and rows["route-lookup"]["from_copies"] > 0
+    assert sum(row["served"] for row in rows.values()) == found["answers"]["served"]
+    assert "By class" in done.stdout and "reads from copies" in done.stdout
 
 
 def test_demo_stay_says_how_to_reach_it(tmp_path):
@@ -162,6 +166,18 @@
         assert (found["bind_dn"], found["bind_password"]) == (DESK_DN, DESK_PASSWORD)
         change = m.ModifyRequest(found["writable_dn"], ((2, "description", (b"tried",)),))
         assert run(client.request, change).code == 0
+        for number in range(50):  # what the printed example promises, on another connection too
+            value = b"%d" % number
+            change = m.ModifyRequest(found["writable_dn"], ((2, "description", (value,)),))
+            assert run(client.request, change).code == 0
+            other = run(connect, reactor, "127.0.0.1", port, "other")
+            assert run(other.bind, found["bind_dn"], found["bind_password"]).code == 0
+            for reader in (client, other):
+                seen = run(reader.request, m.SearchRequest(found["writable_dn"], 0, m.Present("objectClass")))
+                assert shown(seen) == (value,)
+            run(other.leave)
+        everything = run(client.request, m.SearchRequest(found["base_dn"], 2, m.Match("=", "cn", b"0")))
+        assert everything.code == 0 and len(everything.entries) == 2
         process.send_signal(signal.SIGINT)
         assert process.wait(20) == 0
     finally:
--- a/yardbank/cli/check.py
+++ b/yardbank/cli/check.py
@@ -9,7 +9,7 @@
 from rich.table import Table
 
 from yardbank.cli.common import load_or_exit
-from yardbank.config import build
+from yardbank.config import advice, build
 
 
 @click.command()
@@ -60,3 +60,5 @@
     unmatched = [kind.name for kind in config.classes if not kind.match]
     if unmatched:
         console.print(f"Nothing is routed as {', '.join(unmatched)}: no match block.")
+    for warning in advice.warnings(config):
+        console.print(f"Warning: {warning}", markup=False, highlight=False)
