--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(VENV)/bin/mypy
 
 test: lint
-	$(PY) -m pytest -q
+	$(PY) -m pytest -q -n 4
 
 bench: $(VENV)/ready
 	$(PY) -m pip -q install --disable-pip-version-check -e '.[dev,bench]'
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -2,6 +2,10 @@
 
 import itertools
 import json
+import random
+import subprocess
+import sys
+from dataclasses import replace
 from fractions import Fraction
 
 import pytest
@@ -12,6 +16,11 @@
 from yardbank.plan.model import warmth_of
 
 
+def written(value):
+    """A number as the operator writes it: 0.1 is one tenth."""
+    return Fraction(str(value))
+
+
 def exact(problem):
     """Least crossing for each group by successive shortest paths in rationals; None: not feasible."""
     total = Fraction(0)
@@ -26,21 +35,21 @@
             ends.setdefault(b, set()).add(a)
 
         for d in demands:
-            add("from", d, Fraction(d.rate), 0)
-            share = Fraction(problem.limits.spill.get(d.zone, 1)).limit_denominator(1000)
+            add("from", d, written(d.rate), 0)
+            share = written(problem.limits.spill.get(d.zone, 1))
             add(d, ("out", d.zone), Fraction(10**9), 1)
             for s in servers:
                 if s.zone == d.zone:
                     add(d, s, Fraction(10**9), 0)
         for zone in {d.zone for d in demands}:
-            asked = sum(Fraction(d.rate) for d in demands if d.zone == zone)
-            share = Fraction(problem.limits.spill.get(zone, 1)).limit_denominator(1000)
+            asked = sum(written(d.rate) for d in demands if d.zone == zone)
+            share = written(problem.limits.spill.get(zone, 1))
             add(("out", zone), ("away", zone), asked * share, 0)
             for s in servers:
                 if s.zone != zone:
                     add(("away", zone), s, Fraction(10**9), 0)
         for s in servers:
-            usable = Fraction(s.capacity) * Fraction(s.warmth).limit_denominator(1000) - Fraction(s.taken)
+            usable = written(s.capacity) * written(s.warmth) - written(s.taken)
             add(s, "to", max(Fraction(0), usable), 0)
         flow = cost = Fraction(0)
         while True:  # Bellman and Ford: costs may be negative on the way back
@@ -60,7 +69,7 @@
                 edges[a, b][0] -= step
                 edges[b, a][0] += step
             flow, cost = flow + step, cost + step * best["to"]
-        if flow < sum(Fraction(d.rate) for d in demands):
+        if flow < sum(written(d.rate) for d in demands):
             return None
         total += cost
     return total
@@ -106,6 +115,99 @@
     assert len(found) > 300 and 50 < sum(found) < len(found) - 50
 
 
+def far_apart(chance):
+    """A problem whose numbers are of very different scale, many of them just feasible or just not."""
+    def scale(low, high):
+        return float(f"{10 ** chance.uniform(low, high):.{chance.choice((1, 3, 6))}g}")
+
+    servers = tuple(
+        PlanServer(f"s{n}", "g", chance.choice("abc"), chance.choice((0.0, scale(-3, 6), scale(-1, 4))),
+                   chance.choice((1.0, 0.3, 0.001)), chance.choice((0.0, 0.0, scale(-3, 2))))
+        for n in range(chance.randint(1, 7))
+    )  # fmt: skip
+    demands = [Demand("read", "g", zone, scale(-3, 4)) for zone in "abc" if chance.random() < 0.8]
+    limits = Limits(spill={zone: chance.choice((0.0, 1.0, round(chance.random(), 4))) for zone in "ab"})
+    if demands and chance.random() < 0.4:  # exactly what there is, or the least bit more
+        room = sum((max(Fraction(0), written(s.capacity) * written(s.warmth) - written(s.taken)) for s in servers), Fraction(0))
+        rest = room - sum((written(d.rate) for d in demands[1:]), Fraction(0))
+        exactly = float(rest)
+        if rest > 0 and written(exactly) == rest:
+            demands[0] = Demand("read", "g", demands[0].zone, chance.choice((exactly, exactly * 1.000001)))
+    return Problem(servers, tuple(demands), limits)
+
+
+def within_limits(problem, plan):
+    """The test's own judge of a plan, in rationals."""
+    zone = {s.name: s.zone for s in problem.servers}
+    load, out, asked = {}, {}, {}
+    for d in problem.demands:
+        shares = {name: Fraction(share) for name, share in plan.shares.get((d.kind, d.group, d.zone), {}).items()}
+        assert abs(sum(shares.values()) - 1) <= Fraction(1, 10**9)
+        asked[d.zone] = asked.get(d.zone, 0) + written(d.rate)
+        for name, share in shares.items():
+            assert share > 0
+            load[name] = load.get(name, 0) + share * written(d.rate)
+            out[d.zone] = out.get(d.zone, 0) + (zone[name] != d.zone) * share * written(d.rate)
+    for s in problem.servers:
+        room = max(Fraction(0), written(s.capacity) * written(s.warmth) - written(s.taken))
+        assert load.get(s.name, 0) <= room * (1 + Fraction(1, 10**9))
+    for name, most in problem.limits.spill.items():
+        assert out.get(name, 0) <= written(most) * asked.get(name, 0) * (1 + Fraction(1, 10**9))
+
+
+def test_numbers_of_very_different_scale_are_judged_exactly():
+    chance, feasible = random.Random(19), 0
+    for _ in range(400):
+        problem = far_apart(chance)
+        wanted, plan = exact(problem), solve(problem)
+        assert plan.feasible == (wanted is not None), problem
+        if wanted is not None and problem.demands:
+            feasible += 1
+            within_limits(problem, plan)
+            total = sum(d.rate for d in problem.demands)
+            assert abs(plan.crossing - float(wanted)) <= 1e-6 * total, problem
+    assert 80 < feasible < 350
+
+
+def test_a_demand_far_below_the_largest_number_is_not_rounded_away():
+    servers = (PlanServer("big", "g", "a", 1e6), PlanServer("none", "g", "b", 0.0))
+    problem = Problem(servers, (Demand("read", "g", "b", 0.001),), Limits(spill={"b": 0.0}))
+    (conflict,) = solve(problem).conflicts
+    assert set(conflict.limits) == {"demand of read in b: 0.001/s", "capacity of none: 0/s", "spill out of b: at most 0% of 0.001/s"}
+    assert conflict.unserved == pytest.approx(0.001)
+
+
+def holds_alone(problem, conflict, without=""):
+    """Whether a conflict's limits, less one, can hold together; the others are lifted."""
+    words = [limit for limit in conflict.limits if limit != without]
+    named = {server.name for server in problem.servers if any(w.startswith(f"capacity of {server.name}:") for w in words)}
+    servers = tuple(s if s.name in named else replace(s, capacity=1e11, warmth=1.0, taken=0.0) for s in problem.servers)
+    demands = tuple(d for d in problem.demands if any(w.startswith(f"demand of {d.kind} in {d.zone}:") for w in words))
+    spill = {zone: share for zone, share in problem.limits.spill.items() if any(w.startswith(f"spill out of {zone}:") for w in words)}
+    return exact(Problem(servers, demands, Limits(spill=spill))) is not None
+
+
+def test_conflicts_are_minimal():
+    chance, seen = random.Random(5), 0
+    while seen < 80:
+        problem = far_apart(chance)  # one demand a zone: a spill limit is a share of that one
+        if (plan := solve(problem)).feasible:
+            continue
+        seen += 1
+        (conflict,) = plan.conflicts
+        assert not holds_alone(problem, conflict), problem
+        for limit in conflict.limits:
+            assert holds_alone(problem, conflict, limit), (problem, conflict, limit)
+
+
+def test_of_several_classes_only_those_that_matter_are_in_conflict():
+    servers = (PlanServer("s1", "g", "a", 10), PlanServer("s2", "g", "a", 0))
+    demands = (Demand("large", "g", "a", 40), Demand("small", "g", "a", 1), Demand("other", "g", "b", 1))
+    (conflict,) = solve(Problem(servers, demands)).conflicts
+    assert set(conflict.limits) == {"demand of large in a: 40/s", "capacity of s1: 10/s", "capacity of s2: 0/s"}
+    assert conflict.unserved == pytest.approx(32)
+
+
 def test_a_conflict_is_minimal_and_says_by_how_much():
     servers = (PlanServer("s1", "g", "a", 5), PlanServer("s2", "g", "b", 100))
     problem = Problem(servers, (Demand("read", "g", "a", 20),), Limits(spill={"a": 0.5}))
@@ -226,6 +328,13 @@
         assert done.exit_code == 2 and reason in done.output
 
 
+def test_standard_output_holds_the_answer_and_nothing_else(tmp_path):
+    (tmp_path / "model.hcl").write_text(MODEL)
+    command = [sys.executable, "-m", "yardbank", "plan", "solve", str(tmp_path / "model.hcl"), "--json"]
+    done = subprocess.run(command, capture_output=True, text=True, check=True)
+    assert json.loads(done.stdout)["crossing"] == pytest.approx(10, abs=1e-3)
+
+
 def test_weights_of_a_plan_are_a_part_of_a_watched_list(tmp_path):
     from yardbank.gateway import ServerSpec
     from yardbank.membership import read_set
--- a/yardbank/plan/solve.py
+++ b/yardbank/plan/solve.py
@@ -1,20 +1,29 @@
 """The model as linear programs (HiGHS), one group at a time: groups share neither servers nor limits.
 
 In this order, each kept while the next is sought: least traffic between zones; least use of the busiest server;
-then the earliest servers by name, so that the same input gives the same plan. Where nothing is feasible the
-answer is a smallest set of limits that cannot hold together, in the operator's words, and by how much.
+then the earliest zones by name, so that the same input gives the same plan. The programs choose; whether limits hold
+is settled in exact rationals (``yardbank.plan.exact``), which repair what floating point left open. Where nothing is
+feasible the answer is a smallest set of limits that cannot hold together, in the operator's words, and by how much.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from fractions import Fraction
+from typing import Any
 
-import highspy
+import numpy as np
 
+from yardbank.plan.exact import Cut, Flow, broken_limits, usable, written
+from yardbank.plan.highs import Row, run
 from yardbank.plan.model import Demand, PlanServer, Problem
 
-TOLERANCE = 1e-7  # of the largest rate
+TOLERANCE = 1e-9  # of the largest rate: what a later aim may cost an earlier one
+
+
+class PlanFault(ArithmeticError):
+    """A plan that breaks a limit was found and refused: an error of the program, never of the input."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,183 +51,232 @@
         return not self.conflicts
 
 
-@dataclass(slots=True)
-class _Row:
-    """One limit: ``low <= sum(coefficient * variable) <= high``."""
-
-    words: str
-    terms: list[tuple[int, float]]
-    low: float
-    high: float
-
+class _Group:
+    """One group's part of the problem, by zones.
 
-class _Program:
-    """A group's linear program: variables are rates, (demand, server)."""
+    Within a zone, classes are alike to the limits, and servers but for their size: whatever a zone's servers take
+    together is best shared in proportion to what each has left, which uses all of them equally. So the programs are
+    over zones alone, however many servers there are. A column is what one zone asks of the servers of another.
+    """
 
     def __init__(self, group: str, problem: Problem) -> None:
-        self.group = group
+        self.group, self.limits = group, problem.limits
         self.servers = sorted((s for s in problem.servers if s.group == group), key=lambda s: s.name)
         self.demands = sorted(
             (d for d in problem.demands if d.group == group and d.rate > 0), key=lambda d: (d.kind, d.zone)
         )
-        self.scale = max([d.rate for d in self.demands] + [s.usable for s in self.servers] + [1e-9])
-        self.pairs = [(d, s) for d in self.demands for s in self.servers]
-        self.crossing = [float(d.zone != s.zone) for d, s in self.pairs]
-        self.rows = self._rows(problem)
-
-    def _columns(self, keep: Callable[[Demand, PlanServer], bool]) -> list[tuple[int, float]]:
-        return [(index, 1.0) for index, (d, s) in enumerate(self.pairs) if keep(d, s)]
-
-    def _rows(self, problem: Problem) -> list[_Row]:
-        limits, rows, free = problem.limits, [], float("inf")
-        for demand in self.demands:
-            words = f"demand of {demand.kind} in {demand.zone}: {demand.rate:g}/s"
-            rows.append(_Row(words, self._columns(lambda d, s, x=demand: d is x), demand.rate, demand.rate))  # type: ignore[misc]
-        for server in self.servers:
-            most = server.usable * limits.most_used
-            words = f"capacity of {server.name}: {most:g}/s"
-            rows.append(_Row(words, self._columns(lambda d, s, x=server: s is x), -free, most))  # type: ignore[misc]
-        zones = sorted({d.zone for d in self.demands})
-        for zone in zones:
-            if zone in limits.spill:
-                total = sum(d.rate for d in self.demands if d.zone == zone)
-                most = limits.spill[zone] * total
-                words = f"spill out of {zone}: at most {limits.spill[zone]:.0%} of {total:g}/s"
-                inside = self._columns(lambda d, s, z=zone: d.zone == z and s.zone != z)  # type: ignore[misc]
-                rows.append(_Row(words, inside, -free, most))
-        whole = sum(d.rate for d in self.demands)
-        if limits.survive_server and self.servers:
-            largest = max(self.servers, key=lambda s: s.usable)
-            left = sum(s.usable for s in self.servers if s is not largest) * limits.most_used
-            rows.append(_Row(f"{largest.name} lost: {left:g}/s would be left for {whole:g}/s", [], whole - left, free))
-        for zone in sorted({s.zone for s in self.servers}) if limits.survive_zone else ():
-            left = sum(s.usable for s in self.servers if s.zone != zone) * limits.most_used
-            asked = sum(d.rate for d in self.demands if d.zone != zone)
-            rows.append(_Row(f"zone {zone} lost: {left:g}/s would be left for {asked:g}/s", [], asked - left, free))
-        return rows
+        most_used = written(problem.limits.most_used)
+        self.rates = [written(d.rate) for d in self.demands]
+        self.usable = [usable(s) for s in self.servers]
+        self.room = [room * most_used for room in self.usable]
+        self.asked = _by_zone(self.demands, self.rates)
+        self.left = _by_zone(self.servers, self.usable)
+        self.zone_room = {zone: room * most_used for zone, room in self.left.items()}
+        self.asking, self.serving = sorted(self.asked), sorted(self.left)
+        spill = problem.limits.spill
+        self.spill = {zone: written(spill[zone]) * total for zone, total in self.asked.items() if zone in spill}
+        self.scale = float(max(self.asked.values(), default=Fraction(1)))
+
+    # Limits in words
+
+    def demand_words(self, index: int) -> str:
+        demand = self.demands[index]
+        return f"demand of {demand.kind} in {demand.zone}: {demand.rate:g}/s"
 
-    def run(
-        self,
-        cost: list[float],
-        rows: list[_Row],
-        extra: tuple[_Row, ...] = (),
-        more: int = 0,
-    ) -> tuple[list[float], list[float]] | None:
-        """Least cost under some rows; values and prices of the rows, or None where nothing is feasible.
+    def server_words(self, index: int) -> str:
+        return f"capacity of {self.servers[index].name}: {float(self.room[index]):g}/s"
 
-        A row without variables (a limit on the input alone) holds or not. ``more`` variables follow the rates.
+    def zone_words(self, zone: str) -> str:
+        members = [index for index, server in enumerate(self.servers) if server.zone == zone]
+        if len(members) == 1:
+            return self.server_words(members[0])
+        return f"capacity of the {len(members)} servers in {zone}: {float(self.zone_room[zone]):g}/s"
+
+    def spill_words(self, zone: str) -> str:
+        return f"spill out of {zone}: at most {self.limits.spill[zone]:.0%} of {float(self.asked[zone]):g}/s"
+
+    def not_survived(self) -> list[tuple[str, Fraction]]:
+        """Losses that the rest could not carry, and by how much."""
+        found: list[tuple[str, Fraction]] = []
+        whole, room = sum(self.rates, Fraction(0)), sum(self.room, Fraction(0))
+        if self.limits.survive_server and self.servers:
+            largest = max(range(len(self.servers)), key=lambda i: self.room[i])
+            left = room - self.room[largest]
+            words = f"{self.servers[largest].name} lost: {float(left):g}/s would be left for {float(whole):g}/s"
+            found.append((words, whole - left))
+        for zone in self.serving if self.limits.survive_zone else ():
+            left = room - self.zone_room[zone]
+            asked = whole - self.asked.get(zone, Fraction(0))
+            words = f"zone {zone} lost: {float(left):g}/s would be left for {float(asked):g}/s"
+            found.append((words, asked - left))
+        return [(words, short) for words, short in found if short > 0]
+
+    # Feasibility, exactly
+
+    def flow(self, limits: _Limits | None = None) -> Flow:
+        """An empty flow under all limits, or under some alone."""
+        if limits is None:
+            rates = [self.asked[zone] for zone in self.asking]
+            return Flow(self.asking, self.serving, rates, [self.zone_room[z] for z in self.serving], self.spill)
+        asked = _by_zone([self.demands[i] for i in limits.demands], [self.rates[i] for i in limits.demands])
+        return Flow(
+            self.asking,
+            self.serving,
+            [asked.get(zone, Fraction(0)) for zone in self.asking],
+            [self.zone_room[zone] if zone in limits.capacities else None for zone in self.serving],
+            {zone: self.spill[zone] for zone in limits.spills},
+        )
+
+    def conflict(self, cut: Cut) -> Conflict:
+        """A smallest set of limits that cannot hold together (deletion filter over the cut).
+
+        Lifting the capacity of one server of a zone lifts the zone's: each of them is needed, or none.
         """
-        slack = TOLERANCE * self.scale
-        for row in rows:
-            if not row.terms and not (row.low <= slack and row.high >= -slack):
-                return None
-        if not cost:  # no server to send anything to: what has no variables was judged above
-            return [], [0.0] * (len(rows) + len(extra))
-        model = highspy.Highs()
-        for name, value in (("output_flag", False), ("threads", 1), ("random_seed", 1), ("presolve", "off")):
-            model.setOptionValue(name, value)
-        infinity = model.inf
-        for price in cost:
-            model.addVar(0.0, infinity)
-            model.changeColCost(model.getNumCol() - 1, price)
-        for row in (*rows, *extra):
-            low = row.low / self.scale if row.low > -float("inf") else -infinity
-            high = row.high / self.scale if row.high < float("inf") else infinity
-            terms = row.terms
-            if terms:
-                model.addRow(low, high, len(terms), [i for i, _ in terms], [c for _, c in terms])
-        model.run()
-        if model.getModelStatus() != highspy.HighsModelStatus.kOptimal:
-            return None
-        solution = model.getSolution()
-        duals, at = [], 0
-        for row in (*rows, *extra):
-            duals.append(solution.row_dual[at] if row.terms else 0.0)
-            at += bool(row.terms)
-        size = len(self.pairs)
-        values = [value * self.scale for value in solution.col_value[:size]]
-        return values + list(solution.col_value[size : size + more]), duals
-
-    def feasible(self, rows: list[_Row]) -> bool:
-        """Whether some rates keep all of these rows."""
-        return self.run([0.0] * len(self.pairs), rows) is not None
-
-    def conflict(self) -> Conflict:
-        """A smallest set of limits that cannot hold together (deletion filter)."""
-        kept = list(self.rows)
-        for row in list(kept):
-            fewer = [other for other in kept if other is not row]
-            if not self.feasible(fewer):
-                kept = fewer
-        size, count = len(self.pairs), len(self.demands)
-        relaxed = [
-            _Row(row.words, [*row.terms, (size + index, 1.0)], row.low, row.high) if index < count else row
-            for index, row in enumerate(self.rows)
-            if row.terms or index < count
+        zones = [self.asking[i] for i in cut.demands]
+        kept = _Limits(
+            [i for i, demand in enumerate(self.demands) if demand.zone in zones],
+            [self.serving[i] for i in cut.servers],
+            list(cut.zones),
+        )
+        held: list[Any]
+        lists: tuple[list[Any], ...] = kept.demands, kept.capacities, kept.spills
+        for held in lists:
+            for one in list(held):
+                place = held.index(one)
+                del held[place]
+                if self.flow(kept).fill() is None:
+                    held.insert(place, one)
+        words = [self.demand_words(i) for i in kept.demands]
+        words += [self.server_words(i) for i, server in enumerate(self.servers) if server.zone in kept.capacities]
+        words += [self.spill_words(zone) for zone in kept.spills]
+        return Conflict(self.group, tuple(words), float(self.flow().shortfall()))
+
+    # The programs: columns by asking zone, then serving zone; rates in units of the largest zone's
+
+    def far(self) -> np.ndarray:
+        """1 for each column that crosses zones."""
+        return np.array([float(a != b) for a in self.asking for b in self.serving])
+
+    def rows(self) -> list[Row]:
+        """Demands, capacities, spills."""
+        columns = np.arange(len(self.asking) * len(self.serving), dtype=np.int32).reshape(-1, len(self.serving))
+        ones = np.ones(columns.size)
+        rows = [
+            Row(columns[i], ones[: columns.shape[1]], rate, rate)
+            for i, rate in enumerate(float(self.asked[zone]) / self.scale for zone in self.asking)
         ]
-        found = self.run([0.0] * size + [1.0] * count, relaxed, more=count)
-        unserved = sum(found[0][size:]) * self.scale if found else float("nan")
-        return Conflict(self.group, tuple(row.words for row in kept), unserved)
+        rows += [
+            Row(columns[:, j], ones[: columns.shape[0]], -np.inf, float(self.zone_room[zone]) / self.scale,
+                 self.zone_words(zone))
+            for j, zone in enumerate(self.serving)
+        ]  # fmt: skip
+        for zone, most in sorted(self.spill.items()):
+            mine = columns[self.asking.index(zone), [other != zone for other in self.serving]]
+            if len(mine):
+                rows.append(Row(mine, ones[: len(mine)], -np.inf, float(most) / self.scale, self.spill_words(zone)))
+        return rows
+
+
+@dataclass(slots=True)
+class _Limits:
+    """Some of a group's limits: places of demands, zones whose capacity counts, zones whose spill does."""
+
+    demands: list[int]
+    capacities: list[str]
+    spills: list[str]
+
+
+def _by_zone(placed: Sequence[Demand | PlanServer], numbers: Sequence[Fraction]) -> dict[str, Fraction]:
+    found: dict[str, Fraction] = {}
+    for one, number in zip(placed, numbers, strict=True):
+        found[one.zone] = found.get(one.zone, Fraction(0)) + number
+    return found
 
 
 def solve(problem: Problem) -> Plan:
-    """The plan, group by group."""
+    """The plan, group by group. Raises ``PlanFault`` if what was found breaks a limit."""
     plan = Plan()
-    for group in problem.groups():
-        program = _Program(group, problem)
-        if program.demands and not program.feasible(program.rows):
-            plan.conflicts.append(program.conflict())
-        elif program.demands:
-            _solve_group(program, plan)
-        for server in program.servers:
+    for name in problem.groups():
+        group = _Group(name, problem)
+        if group.demands:
+            _solve_group(group, plan)
+        for server in group.servers:
             plan.used.setdefault(server.name, 0.0)
     if plan.conflicts:
         return Plan(conflicts=plan.conflicts)
+    if broken := broken_limits(problem, plan.shares):
+        raise PlanFault("; ".join(broken[:5]))
     return plan
 
 
-def _solve_group(program: _Program, plan: Plan) -> None:
-    size, scale = len(program.pairs), program.scale
-    first = program.run(program.crossing, program.rows)
-    assert first is not None
-    crossing = sum(rate * far for rate, far in zip(first[0], program.crossing, strict=True))
-    _binding(program, first[1], plan)
-    slack = TOLERANCE * scale
-    far = [(index, 1.0) for index, value in enumerate(program.crossing) if value]
-    keep = _Row("least crossing", far, -float("inf"), crossing + slack)
-    busiest = tuple(
-        _Row(
-            "use",
-            [*((i, 1.0) for i, (_, s) in enumerate(program.pairs) if s is server), (size, -server.usable / scale)],
-            -float("inf"),
-            0.0,
+def _solve_group(group: _Group, plan: Plan) -> None:
+    if lost := group.not_survived():
+        plan.conflicts.append(Conflict(group.group, (lost[0][0],), float(lost[0][1])))
+        return
+    flow = group.flow()
+    chosen = _choose(group, plan) if group.servers else None
+    if chosen is not None:
+        count = len(group.serving)
+        scale = Fraction(group.scale)
+        flow.begin(
+            (int(i) // count, int(i) % count, Fraction(float(chosen[i])) * scale) for i in np.flatnonzero(chosen > 0)
         )
-        for server in program.servers
-    )
-    second = program.run([0.0] * size + [1.0], program.rows, (keep, *busiest), 1)
-    assert second is not None
-    most = second[0][size] + TOLERANCE
-    bounds = tuple(
-        _Row("use", [(i, 1.0) for i, (_, s) in enumerate(program.pairs) if s is server], -float("inf"),
-             most * server.usable + slack)
-        for server in program.servers
-    )  # fmt: skip
-    order = {server.name: place for place, server in enumerate(program.servers)}
-    tie = [1 + order[s.name] * (1 + turn / 1000) for turn, (_, s) in enumerate(program.pairs)]
-    third = program.run([price / len(tie) for price in tie], program.rows, (keep, *bounds)) or (second[0][:size], [])
-    rates = [max(0.0, rate) for rate in third[0][:size]]
-    plan.crossing += sum(rate * cross for rate, cross in zip(rates, program.crossing, strict=True))
-    for (demand, server), rate in zip(program.pairs, rates, strict=True):
-        share = round(rate / demand.rate, 9)
-        if share > 0:
-            plan.shares.setdefault((demand.kind, demand.group, demand.zone), {})[server.name] = share
-    for server in program.servers:
-        total = sum(rate for (_, s), rate in zip(program.pairs, rates, strict=True) if s is server)
-        plan.used[server.name] = total / server.usable if server.usable else 0.0
-
-
-def _binding(program: _Program, duals: list[float], plan: Plan) -> None:
+    if (cut := flow.fill()) is not None:
+        plan.conflicts.append(group.conflict(cut))
+        return
+    moved = {(group.asking[a], group.serving[b]): rate for a, b, rate in flow.pairs()}
+    plan.crossing += float(sum((rate for (a, b), rate in moved.items() if a != b), Fraction(0)))
+    members = {
+        zone: [
+            (server.name, float(room / group.left[zone]))
+            for server, room in zip(group.servers, group.usable, strict=True)
+            if server.zone == zone and room > 0
+        ]
+        for zone in group.serving
+    }
+    parts: dict[str, dict[str, float]] = {zone: {} for zone in group.asking}
+    for (asking, serving), rate in sorted(moved.items()):
+        share = float(rate / group.asked[asking])
+        for name, part in members[serving]:
+            if share * part > 0:
+                parts[asking][name] = share * part
+    for demand in group.demands:
+        plan.shares[demand.kind, demand.group, demand.zone] = dict(parts[demand.zone])
+    taken = {zone: sum((r for (_, b), r in moved.items() if b == zone), Fraction(0)) for zone in group.serving}
+    for server, room in zip(group.servers, group.usable, strict=True):
+        plan.used[server.name] = float(taken[server.zone] / group.left[server.zone]) if room else 0.0
+
+
+def _choose(group: _Group, plan: Plan) -> np.ndarray | None:
+    """What the programs choose, one aim after the other; None where the first finds nothing feasible."""
+    rows, far = group.rows(), group.far()
+    first = run(far, rows)
+    if first is None:
+        return None
+    _binding(rows, first[1], plan)
+    size, count = len(far), len(group.serving)
+    across = np.flatnonzero(far).astype(np.int32)
+    keep = [Row(across, np.ones(len(across)), -np.inf, float(first[0] @ far) + TOLERANCE)] if len(across) else []
+    columns = np.arange(size, dtype=np.int32).reshape(-1, count)
+    left = [float(group.left[zone]) / group.scale for zone in group.serving]
+    ones = np.ones(len(group.asking))
+    busy = [
+        Row(np.append(columns[:, j], np.int32(size)), np.append(ones, -room), -np.inf, 0.0)
+        for j, room in enumerate(left)
+        if room > 0
+    ]
+    second = run(np.append(np.zeros(size), 1.0), [*rows, *keep, *busy])
+    if second is None:
+        return first[0]
+    most = float(second[0][size]) + TOLERANCE
+    bounds = [Row(columns[:, j], ones, -np.inf, most * room + TOLERANCE) for j, room in enumerate(left)]
+    turn = np.arange(size)
+    third = run((1 + (turn % count) * (1 + turn / 1000)) / size, [*rows, *keep, *bounds])
+    return third[0] if third is not None else second[0][:size]
+
+
+def _binding(rows: list[Row], duals: np.ndarray, plan: Plan) -> None:
     """Which limits cost crossings, in plain words."""
-    for row, price in zip(program.rows, duals, strict=True):
-        if price < -1e-6 and row.high < float("inf") and row.low != row.high:
+    for row, price in zip(rows, duals, strict=True):
+        if price < -1e-6 and row.words:
             plan.binding.append(f"{row.words}; one request a second more would spare {-price:.2g}/s between zones")
