--- a/tests/test_ldap_path.py
+++ b/tests/test_ldap_path.py
@@ -9,7 +9,8 @@
 
 from tests.net import Desk, run, shown, until, world
 from yardbank.audit import judge
-from yardbank.lab.world import DESK_DN, DESK_PASSWORD, NUMBERS, REQUESTS
+from yardbank.lab.world import CLASSES, DESK_DN, DESK_PASSWORD, NUMBERS, REQUESTS
+from yardbank.ldap import codec
 from yardbank.ldap import messages as m
 from yardbank.ldap.ber import integer, tlv
 
@@ -309,3 +310,49 @@
         assert codes == [m.Code.OTHER, m.Code.BUSY]  # the write may have run; the read can be tried again
         until(lambda: desk.client.gone)
         held(place)
+
+
+def test_a_read_whose_assertion_a_lagging_copy_finds_false_is_answered_by_one_that_is_further_on(daemon):
+    with world(daemon, classes=CLASSES.replace('"800ms"', '"60s"')) as place:
+        for name in ("n2", "n3"):
+            place.servers[name].member.lag = 1e6
+        desk = Desk(place)
+        for _ in range(200):  # until both copies are known to be recent enough
+            desk.read("numbers", "bounded", staleness=60.0)
+            if {f["server"] for f in facts(place, "answered", op="search", role="copy")} >= {"n2", "n3"}:
+                break
+        assert desk.modify(b"mine").code == 0
+        for value, code in ((b"mine", m.Code.SUCCESS), (b"never", m.Code.ASSERTION_FAILED)):
+            wanted = codec.encode_filter(m.Match("=", "description", value))
+            control = m.Control(m.Oid.ASSERTION, True, wanted)
+            for _ in range(5):  # bounded: copies are asked first
+                assert desk.read("numbers", "bounded", controls=(control,), staleness=60.0).code == code
+            false_at = {f["server"] for f in facts(place, "answered", code=122)}
+            assert false_at & {"n2", "n3"} and ("n1" in false_at) == (value == b"never")
+        held(place)
+
+
+def test_an_assertion_that_only_copies_could_judge_is_answered_by_them(daemon):
+    with world(daemon, classes=CLASSES.replace('"800ms"', '"60s"')) as place:
+        desk = Desk(place)
+        for _ in range(200):
+            desk.read("numbers", "bounded", staleness=60.0)
+            if facts(place, "answered", op="search", role="copy"):
+                break
+        run(place.servers["n1"].hang)
+        control = m.Control(m.Oid.ASSERTION, True, codec.encode_filter(m.Match("=", "description", b"never")))
+        answer = desk.read("numbers", "bounded", controls=(control,), staleness=60.0)
+        assert answer.code == m.Code.ASSERTION_FAILED
+
+
+def test_a_searchs_time_limit_ends_it_as_exceeded_and_calls_the_attempt_off(daemon):
+    with world(daemon) as place:
+        desk = Desk(place)
+        assert desk.read().code == 0
+        for name in ("r1", "r2", "r3"):
+            run(place.servers[name].hang)
+        request = m.SearchRequest(f"cn=0,{REQUESTS}", 0, m.Present("objectClass"), time_limit=1)
+        answer = desk.get(request, "session", "requests")
+        assert answer.code == m.Code.TIME_LIMIT and answer.entries == []
+        until(lambda: facts(place, "abandoned"))
+        held(place)
--- a/yardbank/gateway/api.py
+++ b/yardbank/gateway/api.py
@@ -53,6 +53,7 @@
 
     ``status`` is ``ok`` for any definite answer that belongs to the client, else ``full``, ``miss`` (both
     prove that nothing ran) or ``error``. ``commit`` is the origin and mark under which a write was committed.
+    A miss with a payload is a read's answer that a server further on may give otherwise: the primary's is definite.
     """
 
     status: str
--- a/yardbank/gateway/ending.py
+++ b/yardbank/gateway/ending.py
@@ -24,3 +24,8 @@
 def strained(owed: int, most: int) -> bool:
     """Whether a gateway is close enough to its bound of open requests that what is worth more goes first."""
     return owed * 2 > most
+
+
+def standing(status: str, answered: bool, primary: bool) -> str:
+    """How a read's miss counts that came with an answer: from the primary it is the answer, as no server knows more."""
+    return "ok" if status == "miss" and answered and primary else status
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -20,7 +20,7 @@
 from yardbank.gateway.api import SECOND, Backend, Call, Limits, Position, Reply, ServerSpec
 from yardbank.gateway.clock import SteadyClock, started_at
 from yardbank.gateway.deadlines import Deadlines
-from yardbank.gateway.ending import NEVER_RAN, allowance, may_be_refused, strained
+from yardbank.gateway.ending import NEVER_RAN, allowance, may_be_refused, standing, strained
 from yardbank.gateway.link import Attempt, Way
 from yardbank.gateway.positions import Positions
 from yardbank.policy import Router
@@ -33,8 +33,8 @@
     """A request that is owed its answer, or whose attempts are still out."""
 
     __slots__ = (
-        "answering", "attempts", "call", "ended", "gathered", "id", "kind", "list_version", "may_have_run", "out",
-        "parts", "stream_timer", "taken_at",
+        "answering", "attempts", "call", "ended", "gathered", "id", "kind", "list_version", "may_have_run", "missed",
+        "out", "parts", "stream_timer", "taken_at",
     )  # fmt: skip
 
     def __init__(self, number: str, call: Call, kind: api.RequestClass, now: int, list_version: int) -> None:
@@ -47,6 +47,7 @@
         self.answering: int | None = None  # the attempt whose answer has begun to reach the client
         self.stream_timer: int | None = None
         self.may_have_run = self.ended = False
+        self.missed: Any = None  # what a copy answered along with a miss: it stands if no server answers otherwise
 
 
 class Gateway:
@@ -484,6 +485,9 @@
             role = reply.role
             if role:
                 self._positions.role(server, role == api.Role.PRIMARY, now)
+            status = standing(status, reply.payload is not None, self._positions.leads(server))
+            if status == "miss" and reply.payload is not None:
+                request.missed = reply.payload
             if reply.commit is not None:
                 token = self._positions.committed(server, reply.commit, attempt.sent_at)
         if status not in NEVER_RAN:
@@ -520,6 +524,11 @@
     # Final answers
 
     def _refuse(self, request: _Open, retry_after: int, reason: str) -> None:
+        if request.missed is not None:  # copies that its class allows have answered, and nobody said otherwise
+            payload = request.missed
+            self._finish(request, "served", "")
+            self._final(request, lambda: request.call.sink.served(payload))
+            return
         self._finish(request, "refused", "")
         self._final(request, lambda: request.call.sink.refused(retry_after, reason))
 
--- a/yardbank/gateway/positions.py
+++ b/yardbank/gateway/positions.py
@@ -36,6 +36,11 @@
         reference = self._references[self._group[server]].reference()
         return None if reference == server else reference
 
+    def leads(self, server: int) -> bool:
+        """Whether a server was the last to be said primary of its group."""
+        group = self._group.get(server)
+        return group is not None and self._references[group].reference() == server
+
     def role(self, server: int, primary: bool, at: int) -> None:
         """An answer told the role."""
         if server in self._group:
--- a/yardbank/lab/world.py
+++ b/yardbank/lab/world.py
@@ -32,7 +32,7 @@
     "requests": (("r1", "norte"), ("r2", "norte"), ("r3", "sur")),
 }
 
-_CLASSES = """
+CLASSES = """
 class "route-lookup" {
   effect    = "safe"
   read      = "bounded"
@@ -131,7 +131,7 @@
         durable: bool = True,
         groups: Mapping[str, str] | None = None,
         members: Mapping[str, Sequence[tuple[str, str]]] | None = None,
-        classes: str = _CLASSES,
+        classes: str = CLASSES,
         listener: str = "",
     ) -> None:
         """``groups``: suffixes by name; ``members``: names and zones of each; ``listener``: more lines of it."""
--- a/yardbank/ldap/exchange.py
+++ b/yardbank/ldap/exchange.py
@@ -32,6 +32,7 @@
     write: bool
     added_control: bool = False  # the post-read control is ours alone
     added_attribute: bool = False  # the control is the client's, the attribute ours
+    asserts: bool = False  # a read that the server checks (RFC 4528): a copy that lags may find it false
 
 
 def prepare(message: m.Message, raw: codec.Envelope) -> Exchange:
@@ -40,7 +41,8 @@
     assert not isinstance(request, m.Response)
     write = isinstance(request, (*_WRITES, m.ExtendedRequest))
     if not isinstance(request, _READ_BACK):
-        return Exchange(request, raw.tag, raw.operation, raw.controls, write)
+        asserts = not write and any(control.oid == m.Oid.ASSERTION for control in message.controls)
+        return Exchange(request, raw.tag, raw.operation, raw.controls, write, asserts=asserts)
     controls, asked = list(message.controls), next((c for c in message.controls if c.oid == m.Oid.POST_READ), None)
     if asked is None:
         controls.append(m.Control(m.Oid.POST_READ, False, codec.post_read_request((COMMIT_MARK,))))
@@ -65,6 +67,8 @@
         return Reply("full", reason=result.diagnostic)
     if exchange.write and result.code == m.Code.REFERRAL:
         return Reply("miss", role=Role.REPLICA, reason="a read-only copy")
+    if exchange.asserts and result.code == m.Code.ASSERTION_FAILED:  # a server that is further on may say otherwise
+        return Reply("miss", raw, reason="the assertion is false at this server")
     if result.code in _FAULTS:
         return Reply("error", reason=f"result {result.code}: {result.diagnostic}")
     role = Role.PRIMARY if exchange.write and result.code == m.Code.SUCCESS else Role.UNKNOWN
--- a/yardbank/standin/server.py
+++ b/yardbank/standin/server.py
@@ -284,6 +284,8 @@
         if isinstance(operation, m.SearchRequest):
             self._search(job, operation)
         elif isinstance(operation, m.CompareRequest):
+            if self._assertion_fails(job, operation.entry):
+                return
             code, text = server.member.directory.compare(operation)
             self.finish(job, code, text)
         elif isinstance(operation, _WRITES):
@@ -293,6 +295,8 @@
 
     def _search(self, job: _Job, request: m.SearchRequest) -> None:
         server, cluster = self.server, self.server.cluster
+        if self._assertion_fails(job, request.base):
+            return
         (code, text), found = server.member.directory.search(request)
         role = "primary" if cluster.primary == server.name else "copy"
         out: list[bytes] = []
@@ -326,12 +330,8 @@
             server.note("answered", tag=job.tag, code=int(result.code))
             self.send(self.end.final(job.message.id, result))
             return
-        assertion = next((c for c in job.message.controls if c.oid == m.Oid.ASSERTION), None)
-        entry = server.member.directory.entries.get(filters.fold(getattr(request, "entry", "")))
-        if assertion is not None and entry is not None:
-            if not matches(codec.decode_bare_filter(assertion.value or b""), entry.values):
-                self.finish(job, m.Code.ASSERTION_FAILED)
-                return
+        if self._assertion_fails(job, getattr(request, "entry", "")):
+            return
         (code, text), number = cluster.commit(server.name, request, job.tag)
         if number and server.faults.lose_next > 0:
             server.faults.lose_next -= 1
@@ -340,6 +340,15 @@
             return
         self.finish(job, code, text, self._post_read(job, request) if number else ())
 
+    def _assertion_fails(self, job: _Job, name: str) -> bool:
+        """An assertion control (RFC 4528) that is false of the entry ends the operation here."""
+        control = next((c for c in job.message.controls if c.oid == m.Oid.ASSERTION), None)
+        entry = self.server.member.directory.entries.get(filters.fold(name))
+        if control is None or entry is None or matches(codec.decode_bare_filter(control.value or b""), entry.values):
+            return False
+        self.finish(job, m.Code.ASSERTION_FAILED)
+        return True
+
     def _post_read(self, job: _Job, request: m.Request) -> tuple[m.Control, ...]:
         wanted = next((c for c in job.message.controls if c.oid == m.Oid.POST_READ), None)
         if wanted is None or isinstance(request, m.DeleteRequest):
