--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -89,7 +89,7 @@
         merged = Spread([Part("", piece.base, 1.0, piece.shadows)], 0, SECOND)
         merged.next(0, False)
         if code == 0:
-            found += [e.dn for e in entries if merged.entry(0, e.dn, hash(e.dn)) is Verdict.PASS]
+            found += [e.dn for e in entries if merged.entry(0, hash(e.dn), e.dn) is Verdict.PASS]
     assert sorted(found) == sorted(e.dn for e in wanted)
 
 
@@ -139,26 +139,26 @@
     search.done(1, Code.SUCCESS)
     search.failed(2, "late", 2)
     search.give_up()
-    assert search.ending is first and search.entry(1, "cn=1", 1) is Verdict.DROP and search.next(3, False) is None
+    assert search.ending is first and search.entry(1, 1) is Verdict.DROP and search.next(3, False) is None
     assert search.out == (1, 2)  # for the caller to leave
 
 
 def test_the_size_limit_holds_over_all_parts_together():
     search = spread(3, size_limit=4)
     assert [search.next(0, False).size_limit for _ in range(2)] == [4, 4]
-    assert [search.entry(i % 2, f"cn={i}", i) for i in range(4)] == [Verdict.PASS] * 4
+    assert [search.entry(i % 2, i) for i in range(4)] == [Verdict.PASS] * 4
     assert search.next(0, False).size_limit == 1  # none may follow, but whether one does must be known
     search.done(0, Code.SUCCESS)
     search.done(1, Code.SUCCESS)
     assert search.ending is None  # exactly the limit so far: no error yet
-    assert search.entry(2, "cn=5", 5) is Verdict.END
+    assert search.entry(2, 5) is Verdict.END
     assert search.ending.code == Code.SIZE_LIMIT and search.passed == 4
 
 
 def test_exactly_the_size_limit_is_a_success():
     search = spread(2, size_limit=2)
     send_all(search)
-    assert search.entry(0, "cn=1", 1) is search.entry(1, "cn=2", 2) is Verdict.PASS
+    assert search.entry(0, 1) is search.entry(1, 2) is Verdict.PASS
     search.done(0, Code.SUCCESS)
     search.done(1, Code.SUCCESS)
     assert search.ending.code == Code.SUCCESS
@@ -177,10 +177,10 @@
 def test_a_part_that_broke_off_repeats_nothing_and_is_asked_again_once():
     search = spread(2, size_limit=10)
     send_all(search)
-    assert search.entry(0, "cn=1", 1) is search.entry(0, "cn=2", 2) is Verdict.PASS
+    assert search.entry(0, 1) is search.entry(0, 2) is Verdict.PASS
     search.failed(0, "the answer broke off", 5)
     assert search.waiting and search.next(6, False).index == 0
-    assert [search.entry(0, f"cn={i}", i) for i in (2, 1, 3)] == [Verdict.DROP, Verdict.DROP, Verdict.PASS]
+    assert [search.entry(0, i) for i in (2, 1, 3)] == [Verdict.DROP, Verdict.DROP, Verdict.PASS]
     search.failed(0, "again", 7)
     search.done(1, Code.SUCCESS)
     assert search.ending.code == Code.UNAVAILABLE and search.passed == 3
--- a/yardbank/ldap/codec.py
+++ b/yardbank/ldap/codec.py
@@ -123,11 +123,11 @@
     return tlv(SEQUENCE, body)
 
 
-def entry_name(data: bytes) -> str:
-    """The name in a SearchResultEntry, the rest left unread."""
+def entry_name(data: bytes) -> bytes:
+    """The name in a SearchResultEntry as it stands there, the rest left unread."""
     _, start, stop = header(data, 0, len(data))
     low, high = expect(data, start, stop, OCTETS, "objectName")
-    return text(data, low, high, "objectName")
+    return data[low:high]
 
 
 def paged_value(size: int, cookie: bytes) -> bytes:
--- a/yardbank/ldap/spread.py
+++ b/yardbank/ldap/spread.py
@@ -225,8 +225,9 @@
     def on_part(self, index: int, payload: codec.Envelope) -> None:
         """An entry, a continuation reference or an intermediate response."""
         if payload.tag == m.Tag.ENTRY:
-            folded = filters.fold(codec.entry_name(payload.operation))
-            verdict = self._spread.entry(index, folded, xxhash.xxh3_64_intdigest(folded.encode()))
+            name = codec.entry_name(payload.operation)
+            folded = filters.fold(name.decode("utf-8", "replace")) if self._spread.parts[index].shadows else ""
+            verdict = self._spread.entry(index, xxhash.xxh3_64_intdigest(name), folded)
             if verdict is Verdict.PASS:
                 self._client.pass_part(self._id, payload)
             elif verdict is Verdict.END:
--- a/yardbank/spread/merge.py
+++ b/yardbank/spread/merge.py
@@ -132,8 +132,8 @@
             limit = min(self._size_limit, self._size_limit - self.passed + 1)
         return Ask(index, limit, self.until - now)
 
-    def entry(self, index: int, folded: str, digest: int) -> Verdict:
-        """An entry came. ``folded`` is its name, ``digest`` a hash of that."""
+    def entry(self, index: int, digest: int, folded: str = "") -> Verdict:
+        """An entry came. ``digest`` is a hash of its name; ``folded`` the name, where the part has shadows."""
         progress = self._progress[index]
         if self.ending is not None or progress.state is not _State.OUT:
             return Verdict.DROP
