--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -118,9 +118,10 @@
             self.out.append(api.Subscribe())
         members = [member for member in event.members if member.state != "gone"]
         here, named = {m.server for m in members}, {m.server for m in event.members}
-        for server in list(self.servers.values()):
-            left = server.id not in here and (event.kind in ("full", "saved") or server.id in named)
-            if left and (server.drained or not self.set.only_draining_binds):  # else the list may err
+        whole = event.kind in ("full", "saved")  # else the cost is that of the change, not of the list
+        for number in sorted((self.servers.keys() if whole else named) - here):
+            server = self.servers.get(number)
+            if server and (server.drained or not self.set.only_draining_binds):  # else the list may err
                 del self.servers[server.id]
                 self.groups[server.group].remove(server)
         for member in members:
