Gateways route by plans: bound to their list, fading with age, each on its own arc of servers

Cause: a plan was weights in a file that nothing tied to a list; nothing said what an old plan is worth, and every gateway connected to every server.

Change: a plan block names the list that it was made for by a hash, and is held back for any other; of two the later counts; it fades to equal shares between its age and twice that; a started server has its warmth's part. Gateways may be bound to so many servers a group: deterministic apertures, as long as the plan's shares, so that all together send exactly those, with spares. 'plan diff' and 'plan apply'; 'plan solve' writes the new form and names a switch-over candidate.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -426,7 +426,7 @@
 
 
 def test_a_lists_classes_change_what_new_operations_match(tmp_path):
-    from yardbank.lab.world import _CLASSES
+    from yardbank.lab.world import CLASSES
 
     with world(start=False) as place:
         folder = tmp_path / "list.d"
@@ -442,12 +442,12 @@
         until(lambda: place.proxy.gateway.list_version == 1)
         desk = Desk(place)
         assert desk.read("numbers", "bounded", staleness=0.8).code == 0
-        (folder / "classes.hcl").write_text(_CLASSES.replace("ou=numbers,dc=porting", "ou=nothing,dc=porting"))
+        (folder / "classes.hcl").write_text(CLASSES.replace("ou=numbers,dc=porting", "ou=nothing,dc=porting"))
         until(lambda: place.proxy.gateway.list_version == 2)
         assert desk.read("numbers", "bounded", staleness=0.8).code == 0
         taken = [f["request_class"] for f in place.record.facts if f["kind"] == "gateway_taken"]
         assert taken == ["route-lookup", "strict-read"]
-        (folder / "classes.hcl").write_text(_CLASSES.replace("1500ms", "1700ms"))
+        (folder / "classes.hcl").write_text(CLASSES.replace("1500ms", "1700ms"))
         until(lambda: place.proxy._fleet.membership._judged != place.proxy._fleet.membership.current.digest)
         assert place.proxy.gateway.list_version == 2
 
--- a/yardbank/cli/plan.py
+++ b/yardbank/cli/plan.py
@@ -5,18 +5,24 @@
 import json
 import os
 import sys
+import time
 from pathlib import Path
 
 import click
 from rich.console import Console
 from rich.table import Table
 
-from yardbank.cli.common import EXIT_FAULT
-from yardbank.plan.document import PlanError, read_problem, render
+from yardbank.cli.common import EXIT_FAULT, load_or_exit
+from yardbank.config import build
+from yardbank.config.schema import duration
+from yardbank.membership.document import FleetError, read_plans, read_set
+from yardbank.membership.watcher import read_files
+from yardbank.plan.document import PlanError, moved, read_problem, render
+from yardbank.plan.force import MadePlan, list_hash
 from yardbank.plan.model import Problem
-from yardbank.plan.solve import Plan, solve
+from yardbank.plan.solver import Plan, solve
 
-EXIT_INFEASIBLE = 4
+EXIT_INFEASIBLE, EXIT_HELD = 4, 3
 
 
 @click.group()
@@ -55,17 +61,23 @@
 @click.argument("file", type=click.Path(path_type=Path))
 @click.option("--zone", help="Write the weights for this zone's gateways.")
 @click.option("--out", type=click.Path(path_type=Path), help="Where to: a part of a watched list.")
+@click.option("--fade", default="1h", show_default=True, help="So old, the plan begins to give way to equal shares.")
 @click.option("--json", "as_json", is_flag=True, help="Print the plan as JSON.")
-def solve_command(file: Path, zone: str | None, out: Path | None, as_json: bool) -> None:
+def solve_command(file: Path, zone: str | None, out: Path | None, fade: str, as_json: bool) -> None:
     """Solve the model in FILE. Exit code 4: nothing is feasible, and nothing is written."""
     problem, found, data = _solved(file)
     _stop_if_infeasible(found)
+    try:
+        duration(fade)
+    except ValueError as fault:
+        click.echo(f"yardbank: --fade: {fault}", err=True)
+        sys.exit(EXIT_FAULT)
     if (out is None) != (zone is None):
         click.echo("yardbank: --out and --zone belong together", err=True)
         sys.exit(EXIT_FAULT)
     if out is not None and zone is not None:
         part = out.with_name(f".{out.name}.new")
-        part.write_text(render(problem, found, zone, data))
+        part.write_text(render(problem, found, zone, data, time.time(), fade))
         os.replace(part, out)
     if as_json:
         shares = [
@@ -93,3 +105,57 @@
         click.echo(f"{server.name}: {found.used[server.name]:.0%} of {server.usable:g}/s")
     for line in found.binding or ["no limit costs traffic between zones"]:
         click.echo(line)
+
+
+def _plans(file: Path) -> tuple[MadePlan, ...]:
+    """The plans in a file. Ends the program with a fault if it is none."""
+    try:
+        return read_plans(read_files(file))
+    except FleetError as problem:
+        for fault in problem.faults:
+            click.echo(f"yardbank: {fault}", err=True)
+    except OSError as fault:
+        click.echo(f"yardbank: {file}: {fault.strerror or fault}", err=True)
+    sys.exit(EXIT_FAULT)
+
+
+@plan.command()
+@click.argument("old", type=click.Path(path_type=Path))
+@click.argument("new", type=click.Path(path_type=Path))
+def diff(old: Path, new: Path) -> None:
+    """Say what plan NEW changes of plan OLD, zone by zone, and which part of the reads moves."""
+    before, after = ({made.zone: made for made in _plans(file)} for file in (old, new))
+    for zone in sorted({*before, *after}):
+        if zone not in before or zone not in after:
+            click.echo(f"zone {zone}: only in {new if zone in after else old}")
+            continue
+        one, two = before[zone].weights, after[zone].weights
+        click.echo(f"zone {zone}: {moved(one, two):.1%} of reads move")
+        for name in sorted({*one, *two}):
+            if one.get(name) != two.get(name):
+                click.echo(f"  {name}: {one.get(name, 0):g} -> {two.get(name, 0):g}")
+
+
+@plan.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--settings", type=click.Path(path_type=Path), required=True, help="The gateways' settings.")
+def apply(file: Path, settings: Path) -> None:
+    """Put the plan FILE in place, beside the watched list. Exit code 3: it was made for another list."""
+    config = load_or_exit(settings)
+    plans = _plans(file)
+    if config.membership is None or not (target := settings.parent / config.membership.path).is_dir():
+        click.echo(f"yardbank: {settings}: membership: a plan needs a watched directory of parts", err=True)
+        sys.exit(EXIT_FAULT)
+    try:
+        fleet = read_set(read_files(target), build.fleet_groups(config))
+    except FleetError as problem:
+        click.echo(f"yardbank: {problem.faults[0]}", err=True)
+        sys.exit(EXIT_FAULT)
+    wanted = list_hash(fleet.servers)
+    if any(made.list_hash != wanted for made in plans):
+        click.echo(f"yardbank: {file}: made for another list than the one in {target}; solve it anew", err=True)
+        sys.exit(EXIT_HELD)
+    part = target / ".plan.new"
+    part.write_bytes(file.read_bytes())
+    os.replace(part, target / "plan.hcl")
+    click.echo(f"{target / 'plan.hcl'}: in place for zones {', '.join(made.zone for made in plans)}")
--- a/yardbank/config/build.py
+++ b/yardbank/config/build.py
@@ -11,6 +11,7 @@
 from yardbank.ldap.backend import BackendOptions
 from yardbank.ldap.classify import SCOPES, Classifier, Rule
 from yardbank.ldap.front import FrontOptions
+from yardbank.plan.force import Place
 
 STRICT_READ, STRICT_WRITE = "strict-read", "strict-write"
 
@@ -63,6 +64,14 @@
     )
 
 
+def place(config: Config, worker: int, workers: int) -> Place:
+    """This gateway's place among all, for plans and subsets; each worker is a gateway of its own."""
+    block = config.membership
+    index = config.gateway.index * workers + worker
+    total = config.gateway.gateways * workers
+    return Place(index, total, block.most_servers if block else 0, block.spares if block else 0)
+
+
 def fleet_groups(config: Config) -> frozenset[str]:
     """Groups that a watched list may name."""
     return frozenset(group.name for group in config.group)
--- a/yardbank/config/load.py
+++ b/yardbank/config/load.py
@@ -116,6 +116,9 @@
             seen.add(label)
     if bool(config.server) == bool(config.membership):
         found.append(((), "servers are listed here, or a membership block says where: one of both"))
+    if config.gateway.index >= config.gateway.gateways:
+        reason = f"gateway: index {config.gateway.index} is not below gateways = {config.gateway.gateways}"
+        found.append((("gateway", "index"), reason))
     groups = {group.name for group in config.group}
     suffixes: dict[str, str] = {}
     for index, group in enumerate(config.group):
--- a/yardbank/config/schema.py
+++ b/yardbank/config/schema.py
@@ -13,7 +13,8 @@
 _UNITS = {"us": 1_000, "ms": 1_000_000, "s": 1_000_000_000, "m": 60_000_000_000, "h": 3_600_000_000_000}
 
 
-def _duration(value: Any) -> Any:
+def duration(value: Any) -> int:
+    """Nanoseconds from words such as "500ms". Raises ``ValueError``."""
     if not isinstance(value, str):
         raise ValueError('a duration such as "500ms" or "3s" is wanted')
     found = _DURATION.fullmatch(value)
@@ -26,7 +27,7 @@
     return [value] if isinstance(value, str) else value
 
 
-Duration = Annotated[int, BeforeValidator(_duration)]  # nanoseconds
+Duration = Annotated[int, BeforeValidator(duration)]  # nanoseconds
 Words = Annotated[tuple[str, ...], BeforeValidator(_list)]
 
 
@@ -67,6 +68,7 @@
 
     zone: str = ""
     gateways: Annotated[int, Field(gt=0, strict=True)] = 1
+    index: Annotated[int, Field(ge=0, strict=True)] = 0  # this one's place among ``gateways``, counted from 0
     seed: Annotated[int, Field(ge=0, strict=True)] | None = None
     cold: Duration = 0
     cold_share: Annotated[float, Field(gt=0, le=1)] = 1.0
@@ -199,6 +201,8 @@
     settle: Duration = 20_000_000
     patience: Duration = 2_000_000_000
     poll: Duration = 1_000_000_000
+    most_servers: Annotated[int, Field(ge=0, strict=True)] = 0  # of a group, for one gateway; 0: all
+    spares: Annotated[int, Field(ge=0, strict=True)] = 2  # beyond those, for when they fail
 
 
 class StateBlock(Model):
--- a/yardbank/fleet.py
+++ b/yardbank/fleet.py
@@ -15,10 +15,12 @@
 from yardbank.membership.document import Fleet
 from yardbank.membership.life import Action, Apply, Hold, Membership, Reject
 from yardbank.membership.watcher import Watcher
+from yardbank.plan.force import Warming, view
 from yardbank.state.snapshot import GroupState, ServerState, Snapshot
 from yardbank.state.store import Store, StoreError
 from yardbank.state.trust import WriteRate, judge
 
+LEAST_VIEW = 0.05  # seconds between two looks at what a plan has become
 WRITE_EVERY = 200 * MS  # snapshots: lists that change in a storm are not all worth a disk write
 
 
@@ -35,10 +37,16 @@
         log: Any,
         wall: Callable[[], float] = time,
         take_classes: Callable[[Config], None] = lambda config: None,
+        workers: int = 1,
     ) -> None:
         assert config.membership is not None
         self._gateway, self._log, self._wall = gateway, log, wall
         self._config, self._take_classes = config, take_classes
+        self._place = build.place(config, worker, workers)
+        self._warming = Warming(config.gateway.cold / 1e9, config.gateway.cold_share)
+        self._viewed = False  # by a plan or a bound of servers, not the list as it stands
+        self._note = ""
+        self._next_view: Any = None
         self._classes: tuple[Class, ...] = ()  # the list's own, as taken last
         block = config.membership
         self.membership = Membership(build.fleet_groups(config), block.settle, block.patience, self._faults_of)
@@ -73,6 +81,8 @@
     def stop(self, clean: bool) -> None:
         """Watch no longer; ``clean``: every request was answered, and what is written now is the last word."""
         self.watcher.stop()
+        if self._next_view is not None and self._next_view.active():
+            self._next_view.cancel()
         if self._later is not None:
             self._later.cancel()
             self._later = None
@@ -109,7 +119,9 @@
     def _act(self, action: Action) -> None:
         match action:
             case Apply(number, fleet, change, delta):
-                if delta is not None:
+                if self._viewed or fleet.plans or self._place.most:
+                    self._view(fleet, number)
+                elif delta is not None:
                     self._gateway.apply_changes({name: now for name, (_, now) in delta.items()}, number)
                 else:
                     self._gateway.apply_list(fleet.servers, number)
@@ -125,6 +137,20 @@
             case Hold(digest, reason):
                 self._log.error("list_held_back", digest=digest, reason=reason, force="yardbank list apply")
 
+    def _view(self, fleet: Fleet, number: int) -> None:
+        """Route by the list as the plan and this gateway's place among all make it; look again when that changes."""
+        self._viewed = True
+        if self._next_view is not None and self._next_view.active():
+            self._next_view.cancel()
+        found = view(fleet.servers, fleet.plans, self._config.gateway.zone, self._wall(), self._place, self._warming)
+        if found.note != self._note:
+            self._note = found.note
+            self._log.info("plan", note=found.note, version=number)
+        self._gateway.apply_list(found.servers, number)
+        if found.next_at is not None:
+            wait = max(LEAST_VIEW, found.next_at - self._wall())
+            self._next_view = self._reactor.callLater(wait, self._view, fleet, number)
+
     def _with_classes(self, fleet: Fleet) -> Config:
         return self._config.model_copy(update={"classes": fleet.classes}) if fleet.classes else self._config
 
--- a/yardbank/membership/document.py
+++ b/yardbank/membership/document.py
@@ -13,10 +13,11 @@
 import xxhash
 from pydantic import ValidationError
 
-from yardbank.config.hcl import Body, HclError
-from yardbank.config.schema import Class, Server
+from yardbank.config.hcl import Body, HclError, parse
+from yardbank.config.schema import Class, Server, duration
 from yardbank.gateway.api import ServerSpec
 from yardbank.membership.blocks import BlockCache
+from yardbank.plan.force import MadePlan
 
 MAX_SERVERS = 20_000
 
@@ -46,6 +47,7 @@
     set_name: str = ""
     force: bool = False  # the operator's word that a large change is meant
     classes: tuple[Class, ...] = ()  # empty: the settings' own stay in force
+    plans: tuple[MadePlan, ...] = ()
     delta: Delta | None = field(default=None, compare=False)  # known where it was read by its change
 
     def by_name(self) -> dict[str, ServerSpec]:
@@ -82,6 +84,7 @@
     sets: dict[str, str] = {}
     classes: dict[str, Class] = {}
     counts: dict[str, tuple[int, int, int]] = {}
+    plans: list[MadePlan] = []
     force = False
     known = set(groups)
     if not texts:
@@ -110,6 +113,8 @@
                     _server(name, block, known, servers, places, faults)
                 elif kind == "class":
                     _class(name, block, classes, faults)
+                elif kind == "plan":
+                    _plan(name, block, plans, faults)
                 elif kind == "weights" and not block.label and not block.blocks:
                     _weights(name, block, weights, faults)
                 else:
@@ -137,7 +142,7 @@
     if faults:
         raise FleetError(faults)
     return Fleet(tuple(spec for spec, _ in servers.values()), digest_of(texts), next(iter(sets.values()), ""), force,
-                 tuple(classes.values()))  # fmt: skip
+                 tuple(classes.values()), tuple(plans))  # fmt: skip
 
 
 def server_of(block: Body, groups: Iterable[str]) -> ServerSpec | None:
@@ -208,6 +213,63 @@
     classes[found.name] = found
 
 
+def read_plans(texts: Mapping[str, bytes]) -> tuple[MadePlan, ...]:
+    """The plans in files by themselves. Raises ``FleetError``, also where there is none."""
+    plans: list[MadePlan] = []
+    faults: list[str] = []
+    for name in sorted(texts):
+        try:
+            body = parse(texts[name].decode())
+        except UnicodeDecodeError as problem:
+            faults.append(f"{name}:{texts[name][: problem.start].count(10) + 1}: not UTF-8")
+            continue
+        except HclError as problem:
+            faults.append(f"{name}:{problem.line}: {problem.reason}")
+            continue
+        for block in body.blocks.get("plan", ()):
+            _plan(name, block, plans, faults)
+    if not faults and not plans:
+        faults.append(f"{sorted(texts)[0]}:1: no plan stands there")
+    if faults:
+        raise FleetError(faults)
+    return tuple(plans)
+
+
+def _plan(name: str, block: Body, plans: list[MadePlan], faults: list[str]) -> None:
+    where = f"{name}:{block.line}: plan {block.label!r}"
+    known = {"list": str, "made": (int, float), "fade": str, "proven": bool}
+    for key, line in block.lines.items():
+        value = block.attributes[key]
+        if key not in known:
+            faults.append(f"{name}:{line}: plan {block.label!r}: {key}: unknown key")
+        elif not isinstance(value, known[key]) or (isinstance(value, bool) and key != "proven"):  # type: ignore[arg-type]
+            faults.append(f"{name}:{line}: plan {block.label!r}: {key}: not what is wanted there")
+    for key in ("list", "made"):
+        if key not in block.attributes:
+            faults.append(f"{where}: {key}: missing")
+    fade = 0
+    try:
+        fade = duration(block.attributes.get("fade", "1h"))
+    except ValueError as problem:
+        faults.append(f"{name}:{block.lines.get('fade', block.line)}: plan {block.label!r}: fade: {problem}")
+    weights: list[tuple[str, float, str]] = []
+    switchover: dict[str, str] = {}
+    for kind, found in block.blocks.items():
+        for inner in found:
+            if kind == "weights":
+                _weights(name, inner, weights, faults)
+            elif kind == "switchover" and all(isinstance(value, str) for value in inner.attributes.values()):
+                switchover.update(inner.attributes)
+            else:
+                faults.append(f"{name}:{inner.line}: plan {block.label!r}: {kind}: unknown block, or not names")
+    if not faults:
+        by_server = {server: weight for server, weight, _ in weights}
+        plans.append(
+            MadePlan(block.label, block.attributes["list"], float(block.attributes["made"]), fade / 1e9, by_server,
+                     block.attributes.get("proven", True), switchover)
+        )  # fmt: skip
+
+
 def _weights(name: str, block: Body, weights: list[tuple[str, float, str]], faults: list[str]) -> None:
     for server, value in block.attributes.items():
         where = f"{name}:{block.lines[server]}"
--- a/yardbank/membership/edit.py
+++ b/yardbank/membership/edit.py
@@ -116,7 +116,7 @@
         last = known.fleet
         known.fleet = Fleet(
             tuple(known.servers.values()), digest_of(texts), last.set_name, last.force, last.classes,
-            Delta(last.digest, changes),
+            last.plans, Delta(last.digest, changes),
         )  # fmt: skip
         known.texts = dict(texts)
         return known.fleet
--- a/yardbank/plan/aperture.py
+++ b/yardbank/plan/aperture.py
@@ -9,7 +9,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from bisect import bisect_left, bisect_right
+from collections.abc import Mapping
 from dataclasses import dataclass
 from fractions import Fraction
 
@@ -30,58 +31,68 @@
     spares: tuple[str, ...]
 
 
-def ring(shares: Mapping[str, Fraction]) -> list[tuple[Fraction, Fraction, str]]:
-    """Servers with their places, from 0 to 1. Servers without a share have none."""
-    total = sum(shares.values(), Fraction(0))
-    at, found = Fraction(0), []
-    for name in sorted(shares, key=lambda name: (xxhash.xxh3_64_intdigest(name.encode()), name)):
-        if shares[name] > 0:
-            found.append((at, at + shares[name] / total, name))
-            at += shares[name] / total
-    return found
-
-
-def _overlap(places: Sequence[tuple[Fraction, Fraction, str]], start: Fraction, width: Fraction) -> dict[str, Fraction]:
-    """How much of each server an arc covers; arcs go round."""
-    found: dict[str, Fraction] = {}
-    for low, high in ((start, min(start + width, Fraction(1))), (Fraction(0), start + width - 1)):
-        for first, last, name in places:
-            if (part := min(high, last) - max(low, first)) > 0:
-                found[name] = found.get(name, Fraction(0)) + part
-    return found
-
-
-def arcs(places: Sequence[tuple[Fraction, Fraction, str]], gateways: int, most: int) -> int:
-    """How many arcs each gateway covers: as many as keep every gateway within its bound. Raises ``ApertureError``."""
-    if most <= 0 or most >= len(places):
-        return gateways
-    low, high = 0, gateways
-    while low < high:  # more arcs never touch fewer servers
-        middle = (low + high + 1) // 2
-        width = Fraction(middle, gateways)
-        if all(len(_overlap(places, Fraction(g, gateways), width)) <= most for g in range(gateways)):
-            low = middle
-        else:
-            high = middle - 1
-    if low == 0:
-        raise ApertureError(
-            f"at most {most} servers a gateway: {gateways} gateways cannot cover {len(places)} servers by their shares"
-        )
-    return low
-
-
-def aperture(
-    shares: Mapping[str, Fraction], gateway: int, gateways: int, most: int, spares: int = 0, covered: int | None = None
-) -> Aperture:
-    """One gateway's servers of a group. ``most``: so many at the most (0: all); ``covered``: from ``arcs``, if known."""
-    places = ring(shares)
-    if not places:
-        return Aperture({}, tuple(sorted(shares))[:spares])
-    number = arcs(places, gateways, most) if covered is None else covered
-    start = Fraction(gateway % gateways, gateways)
-    parts = _overlap(places, start, Fraction(number, gateways))
+class Ring:
+    """Servers on a ring as long as their shares together. Servers without a share have no place."""
+
+    def __init__(self, shares: Mapping[str, Fraction]) -> None:
+        self.names = [
+            name
+            for name in sorted(shares, key=lambda name: (xxhash.xxh3_64_intdigest(name.encode()), name))
+            if shares[name] > 0
+        ]
+        self.lows, self.highs, at = [], [], Fraction(0)
+        for name in self.names:
+            self.lows.append(at)
+            at += shares[name]
+            self.highs.append(at)
+        self.length = at
+
+    def covered(self, start: Fraction, width: Fraction) -> list[int]:
+        """Places of the servers that an arc touches, each once; arcs go round."""
+        if width >= self.length:
+            return list(range(len(self.names)))
+        first, end = bisect_right(self.highs, start), start + width
+        if end <= self.length:
+            return list(range(first, bisect_left(self.lows, end)))
+        rest = bisect_left(self.lows, end - self.length)
+        return [*range(first, len(self.names)), *range(min(rest, first))]
+
+    def overlap(self, place: int, start: Fraction, width: Fraction) -> Fraction:
+        """How much of one server an arc covers."""
+        low, high, end = self.lows[place], self.highs[place], start + width
+        part = max(Fraction(0), min(high, end) - max(low, start))
+        return part + max(Fraction(0), min(high, end - self.length) - low)
+
+    def arcs(self, gateways: int, most: int) -> int:
+        """How many arcs each gateway covers: as many as keep all within their bound. Raises ``ApertureError``."""
+        if most <= 0 or most >= len(self.names):
+            return gateways
+        arc = self.length / gateways
+        low, high = 0, gateways
+        while low < high:  # more arcs never touch fewer servers
+            middle = (low + high + 1) // 2
+            if all(len(self.covered(arc * g, arc * middle)) <= most for g in range(gateways)):
+                low = middle
+            else:
+                high = middle - 1
+        if low == 0:
+            raise ApertureError(
+                f"at most {most} servers a gateway: {gateways} gateways cannot cover {len(self.names)} by their shares"
+            )
+        return low
+
+
+def aperture(shares: Mapping[str, Fraction], gateway: int, gateways: int, most: int, spares: int = 0) -> Aperture:
+    """One gateway's servers of a group. ``most``: so many at the most (0: all). Raises ``ApertureError``."""
+    ring = Ring(shares)
+    idle = sorted(name for name, share in shares.items() if share == 0)
+    if not ring.names:
+        return Aperture({}, tuple(idle[:spares]))
+    arc = ring.length / gateways
+    start, width = arc * (gateway % gateways), arc * ring.arcs(gateways, most)
+    places = ring.covered(start, width)
+    parts = {ring.names[place]: ring.overlap(place, start, width) for place in places}
     mean = sum(parts.values(), Fraction(0)) / len(parts)
-    after = sorted(places, key=lambda place: (place[0] - start - Fraction(number, gateways)) % 1)
-    others = [name for _, _, name in after if name not in parts]
-    others += sorted(name for name, share in shares.items() if share == 0)
-    return Aperture({name: float(part / mean) for name, part in parts.items()}, tuple(others[:spares]))
+    count = len(ring.names)
+    after = [ring.names[(places[-1] + step) % count] for step in range(1, count - len(places) + 1)]
+    return Aperture({name: float(part / mean) for name, part in parts.items()}, tuple([*after, *idle][:spares]))
--- a/yardbank/plan/document.py
+++ b/yardbank/plan/document.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from typing import Annotated, Any
 
 import xxhash
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from yardbank.config.hcl import Body, HclError, parse
+from yardbank.plan.aperture import LEAST_WEIGHT
+from yardbank.plan.force import list_hash
 from yardbank.plan.model import Demand, Limits, PlanServer, Problem, warmth_of
-from yardbank.plan.solve import Plan
-
-LEAST_WEIGHT = 0.001  # of a server that the plan gives nothing: a spare, where all others fail
+from yardbank.plan.solver import Plan
 
 
 class PlanError(ValueError):
@@ -129,8 +130,28 @@
     return found
 
 
-def render(problem: Problem, plan: Plan, zone: str, source: bytes) -> str:
-    """A part of a watched list: the weights for the gateways of one zone, and what they were made from."""
-    lines = [f"# reads of zone {zone}, worked out from input {xxhash.xxh3_64_hexdigest(source)}", "weights {"]
-    lines += [f"  {name} = {weight}" for name, weight in sorted(weights(problem, plan, zone).items())]
-    return "\n".join([*lines, "}", ""])
+def candidates(problem: Problem) -> dict[str, str]:
+    """By group, who should take over from its primary: the warm server with most to give, the first name of equals."""
+    found: dict[str, str] = {}
+    for group in problem.groups():
+        fit = [s for s in problem.servers if s.group == group and s.taken == 0 and s.usable > 0]
+        if fit:
+            found[group] = min(fit, key=lambda s: (-s.warmth, -s.usable, s.name)).name
+    return found
+
+
+def render(problem: Problem, plan: Plan, zone: str, source: bytes, made: float, fade: str = "1h") -> str:
+    """A part of a watched list: the plan for the gateways of one zone, and which list it is for."""
+    hashed = list_hash(problem.servers)
+    lines = [f"# worked out from input {xxhash.xxh3_64_hexdigest(source)}", f'plan "{zone}" {{', f'  list = "{hashed}"']
+    lines += [f"  made = {made:.3f}", f'  fade = "{fade}"', "  weights {"]
+    lines += [f"    {name} = {weight}" for name, weight in sorted(weights(problem, plan, zone).items())]
+    lines += ["  }", "  switchover {"]
+    lines += [f'    {group} = "{name}"' for group, name in sorted(candidates(problem).items())]
+    return "\n".join([*lines, "  }", "}", ""])
+
+
+def moved(old: Mapping[str, float], new: Mapping[str, float]) -> float:
+    """Which part of the reads goes elsewhere by another plan's weights: half of what the shares differ by."""
+    before, after = sum(old.values()) or 1.0, sum(new.values()) or 1.0
+    return sum(abs(new.get(n, 0.0) / after - old.get(n, 0.0) / before) for n in {*old, *new}) / 2
--- a/yardbank/plan/force.py
+++ b/yardbank/plan/force.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from fractions import Fraction
+from typing import Protocol
 
 import xxhash
 
@@ -61,7 +62,16 @@
     next_at: float | None = None  # when it is to be worked out again
 
 
-def list_hash(servers: Iterable[ServerSpec]) -> str:
+class _Named(Protocol):
+    @property
+    def name(self) -> str: ...
+    @property
+    def group(self) -> str: ...
+    @property
+    def zone(self) -> str: ...
+
+
+def list_hash(servers: Iterable[_Named]) -> str:
     """The name of a list as plans know it."""
     hasher = xxhash.xxh3_64()
     for server in sorted(servers, key=lambda s: s.name):
@@ -85,13 +95,13 @@
 
 def _faded(plan: MadePlan, wall: float) -> tuple[float, float | None]:
     """How much of a plan is left, from 1 to 0, and when that changes."""
-    age = max(0.0, wall - plan.made)
-    if plan.fade <= 0 or age < plan.fade:
-        return 1.0, plan.made + plan.fade if plan.fade > 0 else None
-    step = int((age - plan.fade) / plan.fade * STEPS) + 1
+    if plan.fade <= 0:
+        return 1.0, None
+    over = max(0.0, wall - plan.made - plan.fade) / plan.fade
+    step = int(over * STEPS + 1e-6)  # an instant told as the next step's belongs to it
     if step >= STEPS:
         return 0.0, None
-    return 1 - step / STEPS, plan.made + plan.fade * (1 + step / STEPS)
+    return 1 - step / STEPS, plan.made + plan.fade * (1 + (step + 1) / STEPS)
 
 
 def _warmth(server: ServerSpec, warming: Warming, wall: float) -> tuple[float, float | None]:
@@ -99,7 +109,7 @@
     age = wall - server.started
     if not server.started or warming.cold <= 0 or age >= warming.cold:
         return 1.0, None
-    step = max(0, int(age / warming.cold * STEPS))
+    step = max(0, int(age / warming.cold * STEPS + 1e-6))
     part = warming.cold / STEPS
     return warmth_of(step * part, warming.cold, warming.share), server.started + (step + 1) * part
 
@@ -110,8 +120,8 @@
     """The servers that this gateway routes by, with their weights: by the plan, or as the list has them."""
     plan, note = choose(plans, zone, servers)
     left, due = _faded(plan, wall) if plan else (0.0, None)
-    if plan and not left:
-        plan, note = None, f"plan of {plan.made:.0f} has faded: equal shares"
+    if plan is not None and not left:
+        note, plan = f"plan of {plan.made:.0f} has faded: equal shares", None
     dues = [due] if due is not None else []
     weighted: dict[str, ServerSpec] = {}
     for server in servers:
--- a/yardbank/proxy.py
+++ b/yardbank/proxy.py
@@ -84,7 +84,8 @@
             self.gateway.apply_list(build.servers(config))
         else:
             self._fleet = FleetKeeper(
-                config, self.gateway, reactor, folder, worker, self.log, take_classes=self._take_classes
+                config, self.gateway, reactor, folder, worker, self.log, take_classes=self._take_classes,
+                workers=workers,
             )
 
     def start(self) -> None:
