Gateways plan for themselves in the background; limits on what is moved; prices by pair of zones

Cause: a list that changes leaves the operator's plan behind, and a plan could move every read at once.

Change: with a model, a gateway works out a plan for its list as background work within a budget, used only where no plan of the operator's is in force. most_moved holds a new plan back on the line between it and the one in force (exact; the conflict is told where limits ask for more). Crossing zones may have prices by pair. Shares under 1e-7 go along with the rest.

--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -1,6 +1,5 @@
 """Plans against exact brute force: min-cost flow in rationals, by other code than the solver's."""
 
-import itertools
 import json
 import random
 import subprocess
@@ -11,105 +10,12 @@
 import pytest
 from click.testing import CliRunner
 
+from tests.bruteforce import check, exact, grid, written
 from yardbank.cli import main
 from yardbank.plan import Demand, Limits, PlanServer, Problem, solve
 from yardbank.plan.model import warmth_of
 
 
-def written(value):
-    """A number as the operator writes it: 0.1 is one tenth."""
-    return Fraction(str(value))
-
-
-def exact(problem):
-    """Least crossing for each group by successive shortest paths in rationals; None: not feasible."""
-    total = Fraction(0)
-    for group in problem.groups():
-        servers = [s for s in problem.servers if s.group == group]
-        demands = [d for d in problem.demands if d.group == group]
-        edges, ends = {}, {}
-
-        def add(a, b, cap, cost, edges=edges, ends=ends):
-            edges[a, b], edges[b, a] = [Fraction(cap), cost], edges.get((b, a), [Fraction(0), -cost])
-            ends.setdefault(a, set()).add(b)
-            ends.setdefault(b, set()).add(a)
-
-        for d in demands:
-            add("from", d, written(d.rate), 0)
-            share = written(problem.limits.spill.get(d.zone, 1))
-            add(d, ("out", d.zone), Fraction(10**9), 1)
-            for s in servers:
-                if s.zone == d.zone:
-                    add(d, s, Fraction(10**9), 0)
-        for zone in {d.zone for d in demands}:
-            asked = sum(written(d.rate) for d in demands if d.zone == zone)
-            share = written(problem.limits.spill.get(zone, 1))
-            add(("out", zone), ("away", zone), asked * share, 0)
-            for s in servers:
-                if s.zone != zone:
-                    add(("away", zone), s, Fraction(10**9), 0)
-        for s in servers:
-            usable = written(s.capacity) * written(s.warmth) - written(s.taken)
-            add(s, "to", max(Fraction(0), usable), 0)
-        flow = cost = Fraction(0)
-        while True:  # Bellman and Ford: costs may be negative on the way back
-            best, before = {"from": 0}, {}
-            for _ in range(len(ends)):
-                for (a, b), (cap, price) in edges.items():
-                    if cap > 0 and a in best and best[a] + price < best.get(b, 10**9):
-                        best[b], before[b] = best[a] + price, a
-            if "to" not in best:
-                break
-            path, at = [], "to"
-            while at != "from":
-                path.append((before[at], at))
-                at = before[at]
-            step = min(edges[edge][0] for edge in path)
-            for a, b in path:
-                edges[a, b][0] -= step
-                edges[b, a][0] += step
-            flow, cost = flow + step, cost + step * best["to"]
-        if flow < sum(written(d.rate) for d in demands):
-            return None
-        total += cost
-    return total
-
-
-def grid(most_servers, stride):
-    """Cases up to so many servers and 3 zones."""
-    zones, number = ("a", "b", "c"), 0
-    for count in range(1, most_servers + 1):
-        for places in itertools.product(zones, repeat=count):
-            for capacity, spill, warm in itertools.product((0, 5, 8), (None, 0, 0.25), (1.0, 0.3)):
-                number += 1
-                if number % stride:
-                    continue
-                servers = tuple(
-                    PlanServer(f"s{n}", "g", zone, capacity + n % 3, warm if n == 0 else 1.0)
-                    for n, zone in enumerate(places)
-                )
-                demands = tuple(Demand("read", "g", zone, rate) for zone, rate in zip(zones, (6, 3, 1)))
-                limits = Limits(spill={} if spill is None else {"a": spill, "b": 0.5})
-                yield Problem(servers, demands, limits)
-
-
-def check(problem):
-    wanted, plan = exact(problem), solve(problem)
-    assert plan.feasible == (wanted is not None)
-    if wanted is None:
-        return False
-    assert abs(plan.crossing - float(wanted)) < 1e-4
-    used = dict.fromkeys((s.name for s in problem.servers), 0.0)
-    for demand in problem.demands:
-        shares = plan.shares.get((demand.kind, demand.group, demand.zone), {})
-        assert abs(sum(shares.values()) - (demand.rate > 0)) < 1e-5
-        for name, share in shares.items():
-            used[name] += share * demand.rate
-    for server in problem.servers:  # a just-started server's share is one that it can carry
-        assert used[server.name] <= server.usable + 1e-4
-    return True
-
-
 def test_the_same_verdict_and_optimum_as_brute_force():
     found = [check(problem) for problem in grid(6, 47)]
     assert len(found) > 300 and 50 < sum(found) < len(found) - 50
@@ -242,6 +148,32 @@
     assert word is None or any(word in limit for limit in plan.conflicts[0].limits)
 
 
+def test_no_more_is_moved_than_may_be_unless_limits_ask_for_it():
+    servers = (PlanServer("s1", "g", "a", 100), PlanServer("s2", "g", "a", 100))
+    key, asked = ("read", "g", "a"), (Demand("read", "g", "a", 80),)
+    old = {key: {"s1": 1.0}}
+    half = solve(Problem(servers, asked, Limits(most_moved=0.2, before=old))).shares[key]
+    assert half == pytest.approx({"s1": 0.8, "s2": 0.2})  # equal shares would move one half
+    assert solve(Problem(servers, asked, Limits(most_moved=0.5, before=old))).shares[key] == {"s1": 0.5, "s2": 0.5}
+    small = (PlanServer("s1", "g", "a", 60), servers[1])  # s1 has shrunk: a quarter must go
+    (conflict,) = solve(Problem(small, asked, Limits(most_moved=0.2, before=old))).conflicts
+    assert conflict.limits == ("moved: at most 20% of reads, and 25% must go elsewhere", "capacity of s1: 60/s")
+    just = solve(Problem(small, asked, Limits(most_moved=0.25, before=old))).shares[key]
+    assert just == pytest.approx({"s1": 0.75, "s2": 0.25})
+    gone = solve(Problem(servers, asked, Limits(most_moved=0.0, before={key: {"lost": 0.5, "s2": 0.5}}))).shares[key]
+    assert gone == {"s2": 1.0}  # what a lost server had goes with the rest of the plan in force
+
+
+def test_prices_decide_where_what_must_cross_goes():
+    servers = (PlanServer("b1", "g", "b", 100), PlanServer("c1", "g", "c", 100))
+    asked = (Demand("read", "g", "a", 80),)
+    for near, far in (("b", "c"), ("c", "b")):
+        plan = solve(Problem(servers, asked, Limits(prices={("a", near): 1.0, ("a", far): 3.0})))
+        assert plan.shares["read", "g", "a"] == {f"{near}1": 1.0} and plan.crossing == 80.0
+    with pytest.raises(ValueError, match="price from 'a' to 'b'"):
+        Problem(servers, asked, Limits(prices={("a", "b"): 0.0}))
+
+
 def test_equals_are_shared_evenly_and_the_same_input_gives_the_same_plan():
     servers = tuple(PlanServer(f"s{n}", "g", "a", 10) for n in range(4))
     problem = Problem(servers, (Demand("read", "g", "a", 20), Demand("status", "g", "a", 4)))
--- a/tests/test_plan_use.py
+++ b/tests/test_plan_use.py
@@ -223,6 +223,33 @@
         assert Desk(place).read("numbers", "bounded", staleness=0.8).code == 0
 
 
+def test_a_gateway_plans_for_itself_when_its_list_changes(tmp_path):
+    with world(start=False) as place:
+        folder = tmp_path / "list.d"
+        folder.mkdir()
+        specs = [
+            ServerSpec(name, group, zone, "127.0.0.1", place.servers[name].port, name in ("n1", "r1"))
+            for group, members in place.members.items()
+            for name, zone in members
+        ]
+        rows = [f'server "{s.name}" {{\n group = "{s.group}"\n zone = "{s.zone}"\n capacity = {10 * n + 10}\n}}\n' for n, s in enumerate(specs)]
+        rows += [f'demand "read" {{\n group = "{group}"\n zone = "norte"\n rate = 20\n}}\n' for group in place.groups]
+        (tmp_path / "model.hcl").write_text("".join(rows))
+        (folder / "servers.hcl").write_text(render(specs))
+        place.watched, place.more_membership = folder, f'  model = "{tmp_path / "model.hcl"}"\n'
+        run(place.start_gateway)
+        gateway = place.proxy.gateway
+        weight = lambda name: run(lambda: gateway._specs[name].weight)  # noqa: E731
+        until(lambda: gateway.list_version == 1 and gateway._specs["n2"].weight != 1.0)
+        assert weight("n2") == pytest.approx(2 * weight("n1"), rel=1e-3) and weight("n3") == 0.001
+        (folder / "servers.hcl").write_text(render([s for s in specs if s.name != "n2"]))
+        until(lambda: gateway.list_version == 2 and gateway._specs["n3"].weight > 0.001)
+        assert weight("n1") == pytest.approx(weight("n3"), rel=1e-3)  # ten each: half must cross now
+        (folder / "servers.hcl").write_text(render([s for s in specs if s.name in ("n1", "r1", "r2")]))
+        until(lambda: gateway.list_version == 3 and place.proxy._fleet._own is None)
+        assert weight("n1") == 1.0  # no plan is feasible: equal shares, and the reason in the log
+
+
 def test_commands_solve_diff_and_apply(tmp_path):
     def call(*words):
         return CliRunner().invoke(main, ["plan", *map(str, words)])
--- a/yardbank/cli/plan.py
+++ b/yardbank/cli/plan.py
@@ -30,10 +30,21 @@
     """Shares of reads worked out ahead."""
 
 
-def _solved(file: Path) -> tuple[Problem, Plan, bytes]:
+def _solved(file: Path, before: Path | None = None) -> tuple[Problem, Plan, bytes]:
+    old: dict[tuple[str, str, str], dict[str, float]] = {}
+    try:
+        if before is not None:
+            for row in json.loads(before.read_text())["shares"]:
+                old[row["class"], row["group"], row["zone"]] = {str(n): float(v) for n, v in row["shares"].items()}
+    except OSError as fault:
+        click.echo(f"yardbank: {before}: {fault.strerror or fault}", err=True)
+        sys.exit(EXIT_FAULT)
+    except (ValueError, KeyError, TypeError, AttributeError) as fault:
+        click.echo(f"yardbank: {before}: no plan as JSON: {fault!r}", err=True)
+        sys.exit(EXIT_FAULT)
     try:
         data = file.read_bytes()
-        problem = read_problem(data.decode(), str(file))
+        problem = read_problem(data.decode(), str(file), old)
     except OSError as fault:
         click.echo(f"yardbank: {file}: {fault.strerror or fault}", err=True)
     except UnicodeDecodeError:
@@ -62,10 +73,13 @@
 @click.option("--zone", help="Write the weights for this zone's gateways.")
 @click.option("--out", type=click.Path(path_type=Path), help="Where to: a part of a watched list.")
 @click.option("--fade", default="1h", show_default=True, help="So old, the plan begins to give way to equal shares.")
+@click.option("--from", "before", type=click.Path(path_type=Path), help="The plan in force, as JSON, for most_moved.")
 @click.option("--json", "as_json", is_flag=True, help="Print the plan as JSON.")
-def solve_command(file: Path, zone: str | None, out: Path | None, fade: str, as_json: bool) -> None:
+def solve_command(
+    file: Path, zone: str | None, out: Path | None, fade: str, before: Path | None, as_json: bool
+) -> None:
     """Solve the model in FILE. Exit code 4: nothing is feasible, and nothing is written."""
-    problem, found, data = _solved(file)
+    problem, found, data = _solved(file, before)
     _stop_if_infeasible(found)
     try:
         duration(fade)
--- a/yardbank/config/schema.py
+++ b/yardbank/config/schema.py
@@ -203,6 +203,9 @@
     poll: Duration = 1_000_000_000
     most_servers: Annotated[int, Field(ge=0, strict=True)] = 0  # of a group, for one gateway; 0: all
     spares: Annotated[int, Field(ge=0, strict=True)] = 2  # beyond those, for when they fail
+    model: str = ""  # what to plan by when the list changes, relative to the settings file; empty: never
+    planning: Annotated[float, Field(gt=0, le=1)] = 0.05  # of one core, for that
+    fade: Duration = 3_600_000_000_000  # so old, such a plan begins to give way to equal shares
 
 
 class StateBlock(Model):
--- a/yardbank/fleet.py
+++ b/yardbank/fleet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from time import time
 from typing import Any
@@ -15,11 +15,16 @@
 from yardbank.membership.document import Fleet
 from yardbank.membership.life import Action, Apply, Hold, Membership, Reject
 from yardbank.membership.watcher import Watcher
-from yardbank.plan.force import Warming, view
+from yardbank.plan.document import PlanError, read_problem
+from yardbank.plan.force import MadePlan, Warming, choose, view
+from yardbank.plan.model import Problem
+from yardbank.plan.replan import replan
+from yardbank.scheduler import Budget, Queue, Runner
 from yardbank.state.snapshot import GroupState, ServerState, Snapshot
 from yardbank.state.store import Store, StoreError
 from yardbank.state.trust import WriteRate, judge
 
+PLAN_BURST = 50 * MS  # of work, before planning waits for its share
 LEAST_VIEW = 0.05  # seconds between two looks at what a plan has become
 WRITE_EVERY = 200 * MS  # snapshots: lists that change in a storm are not all worth a disk write
 
@@ -40,15 +45,24 @@
         workers: int = 1,
     ) -> None:
         assert config.membership is not None
+        block = config.membership
         self._gateway, self._log, self._wall = gateway, log, wall
         self._config, self._take_classes = config, take_classes
         self._place = build.place(config, worker, workers)
         self._warming = Warming(config.gateway.cold / 1e9, config.gateway.cold_share)
+        self._model: Problem | None = None
+        self._own: MadePlan | None = None  # worked out here
+        if block.model:
+            path = folder / block.model
+            try:
+                self._model = read_problem(path.read_text(), str(path))
+            except (OSError, UnicodeDecodeError, PlanError) as problem:  # a gateway serves without a plan
+                self._log.error("model_rejected", fault=str(problem))
+        self._runner = Runner(Queue(Budget(block.planning, PLAN_BURST)), reactor, gateway.now, log)
         self._viewed = False  # by a plan or a bound of servers, not the list as it stands
         self._note = ""
         self._next_view: Any = None
         self._classes: tuple[Class, ...] = ()  # the list's own, as taken last
-        block = config.membership
         self.membership = Membership(build.fleet_groups(config), block.settle, block.patience, self._faults_of)
         self.watcher = Watcher(
             folder / block.path,
@@ -81,6 +95,7 @@
     def stop(self, clean: bool) -> None:
         """Watch no longer; ``clean``: every request was answered, and what is written now is the last word."""
         self.watcher.stop()
+        self._runner.stop()
         if self._next_view is not None and self._next_view.active():
             self._next_view.cancel()
         if self._later is not None:
@@ -119,6 +134,8 @@
     def _act(self, action: Action) -> None:
         match action:
             case Apply(number, fleet, change, delta):
+                if self._model is not None:
+                    self._runner.add("replan", 1, self._replan(self._model, fleet, number))
                 if self._viewed or fleet.plans or self._place.most:
                     self._view(fleet, number)
                 elif delta is not None:
@@ -142,7 +159,10 @@
         self._viewed = True
         if self._next_view is not None and self._next_view.active():
             self._next_view.cancel()
-        found = view(fleet.servers, fleet.plans, self._config.gateway.zone, self._wall(), self._place, self._warming)
+        plans = fleet.plans
+        if self._own is not None and choose(plans, self._config.gateway.zone, fleet.servers)[0] is None:
+            plans = (self._own,)
+        found = view(fleet.servers, plans, self._config.gateway.zone, self._wall(), self._place, self._warming)
         if found.note != self._note:
             self._note = found.note
             self._log.info("plan", note=found.note, version=number)
@@ -151,6 +171,17 @@
             wait = max(LEAST_VIEW, found.next_at - self._wall())
             self._next_view = self._reactor.callLater(wait, self._view, fleet, number)
 
+    def _replan(self, model: Problem, fleet: Fleet, number: int) -> Iterator[object]:
+        """Work out a plan in the background; a newer list's work takes the place of this."""
+        block, wall = self._config.membership, self._wall()
+        assert block is not None
+        cold, share, zone = self._warming.cold, self._warming.share, self._config.gateway.zone
+        made = yield from replan(model, fleet.servers, zone, wall, cold, share, block.fade / 1e9)
+        self._log.info("replanned", note=made.note, version=number)
+        if self.membership.current is fleet:
+            self._own = made.plan
+            self._view(fleet, number)
+
     def _with_classes(self, fleet: Fleet) -> Config:
         return self._config.model_copy(update={"classes": fleet.classes}) if fleet.classes else self._config
 
--- a/yardbank/lab/world.py
+++ b/yardbank/lab/world.py
@@ -159,6 +159,7 @@
         self.folder = Path(tempfile.mkdtemp(prefix="yardbank-"))
         self.port = 0
         self.proxy: Proxy | None = None
+        self.more_membership = ""  # more lines of that block
         self.watched: Path | None = None  # where the list is watched; None: it stands in the settings
         self._process: subprocess.Popen[bytes] | None = None
         self._runs = 0
@@ -184,7 +185,7 @@
             self._classes,
         ]
         if self.watched is not None:
-            parts.append(f'membership {{\n  path = "{self.watched}"\n}}')
+            parts.append(f'membership {{\n  path = "{self.watched}"\n{self.more_membership}}}')
             if self.durable:
                 parts.append(f'state {{\n  path = "{self.watched.parent / "state"}"\n}}')
         for group, members in self.members.items():
--- a/yardbank/plan/document.py
+++ b/yardbank/plan/document.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Annotated, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import xxhash
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -12,7 +12,9 @@
 from yardbank.plan.aperture import LEAST_WEIGHT
 from yardbank.plan.force import list_hash
 from yardbank.plan.model import Demand, Limits, PlanServer, Problem, warmth_of
-from yardbank.plan.solver import Plan
+
+if TYPE_CHECKING:
+    from yardbank.plan.solver import Plan
 
 
 class PlanError(ValueError):
@@ -45,25 +47,31 @@
     most_used: Annotated[float, Field(gt=0, le=1)] = 1.0
     survive_server: bool = False
     survive_zone: bool = False
+    most_moved: Annotated[float, Field(ge=0, le=1)] = 1.0
     cold: Annotated[float, Field(ge=0)] = 0.0  # seconds until a started server is warm
     cold_share: Annotated[float, Field(gt=0, le=1)] = 1.0
 
 
-def read_problem(text: str, name: str) -> Problem:
-    """The model from its text. Raises ``PlanError``."""
+def read_problem(
+    text: str, name: str, before: Mapping[tuple[str, str, str], Mapping[str, float]] | None = None
+) -> Problem:
+    """The model from its text; ``before`` are the shares in force. Raises ``PlanError``."""
     faults: list[str] = []
     try:
         body = parse(text)
     except HclError as problem:
         raise PlanError([f"{name}:{problem.line}: {problem.reason}"]) from None
     faults += [f"{name}:{line}: {key}: unknown key" for key, line in body.lines.items()]
-    known = {"server": _Server, "demand": _Demand, "limits": _Limits, "spill": None}
+    known = {"server": _Server, "demand": _Demand, "limits": _Limits, "spill": None, "price": None}
+    prices: dict[tuple[str, str], float] = {}
     found: dict[str, list[tuple[str, Any]]] = {kind: [] for kind in known}
     spill: dict[str, float] = {}
     for kind, blocks in body.blocks.items():
         for block in blocks:
             if kind not in known:
                 faults.append(f"{name}:{block.line}: {kind}: unknown block")
+            elif kind == "price":
+                prices.update({(block.label, zone): price for zone, price in _numbers(block, name, "price", faults)})
             elif kind == "spill":
                 spill.update(_spill(block, name, faults))
             else:
@@ -83,7 +91,8 @@
                 for label, s in found["server"]
             ),
             tuple(Demand(label, d.group, d.zone, d.rate) for label, d in found["demand"]),
-            Limits(limits.most_used, spill, limits.survive_server, limits.survive_zone),
+            Limits(limits.most_used, spill, limits.survive_server, limits.survive_zone, prices, limits.most_moved,
+                   before or {}),
         )  # fmt: skip
     except ValueError as problem:
         raise PlanError([f"{name}: {problem}"]) from None
@@ -104,6 +113,16 @@
             faults.append(f"{name}:{block.lines.get(key, block.line)}: {kind} {block.label!r}: {key}: {reason}")
 
 
+def _numbers(block: Body, name: str, kind: str, faults: list[str]) -> list[tuple[str, float]]:
+    found = []
+    for key, value in block.attributes.items():
+        if isinstance(value, bool) or not isinstance(value, int | float) or value <= 0:
+            faults.append(f"{name}:{block.lines[key]}: {kind} {block.label!r}: {key}: a number above 0 is wanted")
+        else:
+            found.append((key, float(value)))
+    return found
+
+
 def _spill(block: Body, name: str, faults: list[str]) -> dict[str, float]:
     found = {}
     for zone, share in block.attributes.items():
--- a/yardbank/plan/model.py
+++ b/yardbank/plan/model.py
@@ -41,6 +41,9 @@
     spill: Mapping[str, float] = field(default_factory=dict)  # by zone: the share of a group's reads that may leave
     survive_server: bool = False  # any one server of a group lost: the rest carries its demand
     survive_zone: bool = False  # any one zone lost: the rest carries each group's demand of the other zones
+    prices: Mapping[tuple[str, str], float] = field(default_factory=dict)  # of a read from zone to zone; else 1
+    most_moved: float = 1.0  # the part of a group's reads that may go elsewhere than by ``before``
+    before: Mapping[tuple[str, str, str], Mapping[str, float]] = field(default_factory=dict)  # the shares in force
 
 
 @dataclass(slots=True, frozen=True)
@@ -67,6 +70,11 @@
         for zone, share in self.limits.spill.items():
             if not 0 <= share <= 1:
                 raise ValueError(f"spill of zone {zone!r} is not between 0 and 1")
+        for (here, there), price in self.limits.prices.items():
+            if not 0 < price < 1e6:
+                raise ValueError(f"price from {here!r} to {there!r} is not above 0, or beyond 1e6")
+        if not 0 <= self.limits.most_moved <= 1:
+            raise ValueError("most_moved is not between 0 and 1")
         if not 0 < self.limits.most_used <= 1:
             raise ValueError("most_used is not above 0 and at most 1")
 
--- a/yardbank/plan/solver.py
+++ b/yardbank/plan/solver.py
@@ -8,7 +8,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Generator, Iterator, Sequence
 from dataclasses import dataclass, field
 from fractions import Fraction
 from typing import Any
@@ -19,6 +19,7 @@
 from yardbank.plan.highs import Row, run
 from yardbank.plan.model import Demand, PlanServer, Problem
 
+DUST = 1e-7  # of what a zone asks: less than that goes along with the rest
 TOLERANCE = 1e-9  # of the largest rate: what a later aim may cost an earlier one
 
 
@@ -69,6 +70,8 @@
         self.rates = [written(d.rate) for d in self.demands]
         self.usable = [usable(s) for s in self.servers]
         self.room = [room * most_used for room in self.usable]
+        self.zone_of = {server.name: server.zone for server in self.servers}
+        self.room_by_name = {server.name: room for server, room in zip(self.servers, self.room, strict=True)}
         self.asked = _by_zone(self.demands, self.rates)
         self.left = _by_zone(self.servers, self.usable)
         self.zone_room = {zone: room * most_used for zone, room in self.left.items()}
@@ -154,8 +157,9 @@
     # The programs: columns by asking zone, then serving zone; rates in units of the largest zone's
 
     def far(self) -> np.ndarray:
-        """1 for each column that crosses zones."""
-        return np.array([float(a != b) for a in self.asking for b in self.serving])
+        """The price of each column that crosses zones; 0 for those that stay."""
+        prices = self.limits.prices
+        return np.array([prices.get((a, b), 1.0) if a != b else 0.0 for a in self.asking for b in self.serving])
 
     def rows(self) -> list[Row]:
         """Demands, capacities, spills."""
@@ -195,6 +199,17 @@
 
 def solve(problem: Problem) -> Plan:
     """The plan, group by group. Raises ``PlanFault`` if what was found breaks a limit."""
+    steps = solve_steps(problem)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as ended:
+            found: Plan = ended.value
+            return found
+
+
+def solve_steps(problem: Problem) -> Generator[str, None, Plan]:
+    """As ``solve``, a group at a time: for background work. Yields each group's name once it is done."""
     plan = Plan()
     for name in problem.groups():
         group = _Group(name, problem)
@@ -202,6 +217,7 @@
             _solve_group(group, plan)
         for server in group.servers:
             plan.used.setdefault(server.name, 0.0)
+        yield name
     if plan.conflicts:
         return Plan(conflicts=plan.conflicts)
     if broken := broken_limits(problem, plan.shares):
@@ -216,35 +232,113 @@
     flow = group.flow()
     chosen = _choose(group, plan) if group.servers else None
     if chosen is not None:
-        count = len(group.serving)
-        scale = Fraction(group.scale)
-        flow.begin(
-            (int(i) // count, int(i) % count, Fraction(float(chosen[i])) * scale) for i in np.flatnonzero(chosen > 0)
-        )
+        flow.begin(_whole_rates(group, chosen))
     if (cut := flow.fill()) is not None:
         plan.conflicts.append(group.conflict(cut))
         return
+    wanted = _shares(group, flow)
+    if group.limits.before and group.limits.most_moved < 1:
+        held = _held_back(group, wanted)
+        if isinstance(held, Conflict):
+            plan.conflicts.append(held)
+            return
+        wanted = held
+    load = dict.fromkeys((server.name for server in group.servers), Fraction(0))
+    zones = {server.name: server.zone for server in group.servers}
+    crossing = Fraction(0)
+    for demand, rate, parts in zip(group.demands, group.rates, wanted, strict=True):
+        held_ = {name: float(part) for name, part in parts.items()}
+        plan.shares[demand.kind, demand.group, demand.zone] = {name: part for name, part in held_.items() if part > 0}
+        for name, part in parts.items():
+            load[name] += rate * part
+            crossing += rate * part if zones[name] != demand.zone else 0
+    plan.crossing += float(crossing)
+    for server, room in zip(group.servers, group.usable, strict=True):
+        plan.used[server.name] = float(load[server.name] / room) if room else 0.0
+
+
+def _whole_rates(group: _Group, chosen: np.ndarray) -> Iterator[tuple[int, int, Fraction]]:
+    """What was chosen, without dust, and so that each zone's demand is met exactly."""
+    count = len(group.serving)
+    for place, zone in enumerate(group.asking):
+        row = [max(0.0, float(value)) for value in chosen[place * count : (place + 1) * count]]
+        kept = {j: Fraction(value) for j, value in enumerate(row) if value > DUST * sum(row)}
+        total = sum(kept.values(), Fraction(0))
+        for j, value in kept.items():
+            yield place, j, group.asked[zone] * value / total
+
+
+Shares = list[dict[str, Fraction]]  # of each demand, by server
+
+
+def _shares(group: _Group, flow: Flow) -> Shares:
+    """A flow between zones as shares by server: each server has its part of what its zone takes."""
     moved = {(group.asking[a], group.serving[b]): rate for a, b, rate in flow.pairs()}
-    plan.crossing += float(sum((rate for (a, b), rate in moved.items() if a != b), Fraction(0)))
-    members = {
-        zone: [
-            (server.name, float(room / group.left[zone]))
-            for server, room in zip(group.servers, group.usable, strict=True)
-            if server.zone == zone and room > 0
-        ]
-        for zone in group.serving
-    }
-    parts: dict[str, dict[str, float]] = {zone: {} for zone in group.asking}
+    parts: dict[str, dict[str, Fraction]] = {zone: {} for zone in group.asking}
+    members: dict[str, list[tuple[str, Fraction]]] = {zone: [] for zone in group.serving}
+    for server, room in zip(group.servers, group.usable, strict=True):
+        if room > 0:
+            members[server.zone].append((server.name, room / group.left[server.zone]))
     for (asking, serving), rate in sorted(moved.items()):
-        share = float(rate / group.asked[asking])
+        share = rate / group.asked[asking]
         for name, part in members[serving]:
-            if share * part > 0:
-                parts[asking][name] = share * part
-    for demand in group.demands:
-        plan.shares[demand.kind, demand.group, demand.zone] = dict(parts[demand.zone])
-    taken = {zone: sum((r for (_, b), r in moved.items() if b == zone), Fraction(0)) for zone in group.serving}
-    for server, room in zip(group.servers, group.usable, strict=True):
-        plan.used[server.name] = float(taken[server.zone] / group.left[server.zone]) if room else 0.0
+            parts[asking][name] = share * part
+    return [parts[demand.zone] for demand in group.demands]
+
+
+def _held_back(group: _Group, wanted: Shares) -> Shares | Conflict:
+    """As far from the plan in force towards the one wanted as may be moved.
+
+    Limits are linear, so whatever lies between two plans that keep them keeps them too; where the one in force no
+    longer does, it is moved as far as the limits ask, or the conflict is told.
+    """
+    known = {server.name for server in group.servers}
+    before: Shares = []
+    for demand, target in zip(group.demands, wanted, strict=True):
+        old = group.limits.before.get((demand.kind, demand.group, demand.zone), {})
+        kept = {name: written(share) for name, share in old.items() if name in known and share > 0}
+        total = sum(kept.values(), Fraction(0))
+        before.append({name: share / total for name, share in kept.items()} if total else target)
+    whole = sum(group.rates, Fraction(0))
+    moved = sum(
+        (rate * sum((abs(b.get(n, Fraction(0)) - a.get(n, Fraction(0))) for n in {*a, *b}), Fraction(0)) / 2
+         for rate, a, b in zip(group.rates, before, wanted, strict=True)), Fraction(0),
+    ) / whole  # fmt: skip
+    most = written(group.limits.most_moved)
+    if moved <= most:
+        return wanted
+    allowed = most / moved
+    needed, words = _needed_part(group, before, wanted)
+    if needed > allowed:
+        limit = f"moved: at most {float(most):.0%} of reads, and {float(needed * moved):.0%} must go elsewhere"
+        return Conflict(group.group, (limit, words), 0.0)
+    return [
+        {n: part for n in sorted({*a, *b})
+         if (part := a.get(n, Fraction(0)) * (1 - allowed) + b.get(n, Fraction(0)) * allowed) > 0}
+        for a, b in zip(before, wanted, strict=True)
+    ]  # fmt: skip
+
+
+def _needed_part(group: _Group, before: Shares, wanted: Shares) -> tuple[Fraction, str]:
+    """How far one must go from the plan in force until every limit holds, and the limit that asks for it."""
+
+    def totals(shares: Shares) -> dict[str, Fraction]:
+        found = dict.fromkeys((*group.room_by_name, *(f"\0{zone}" for zone in group.spill)), Fraction(0))
+        for demand, rate, parts in zip(group.demands, group.rates, shares, strict=True):
+            for name, part in parts.items():
+                found[name] += rate * part
+                if group.zone_of[name] != demand.zone and demand.zone in group.spill:
+                    found[f"\0{demand.zone}"] += rate * part
+        return found
+
+    old, new, worst = totals(before), totals(wanted), (Fraction(0), "")
+    for index, server in enumerate(group.servers):
+        if (over := old[server.name] - group.room[index]) > 0:
+            worst = max(worst, (over / (old[server.name] - new[server.name]), group.server_words(index)))
+    for zone, most in group.spill.items():
+        if (over := old[f"\0{zone}"] - most) > 0:
+            worst = max(worst, (over / (old[f"\0{zone}"] - new[f"\0{zone}"]), group.spill_words(zone)))
+    return worst
 
 
 def _choose(group: _Group, plan: Plan) -> np.ndarray | None:
@@ -256,7 +350,7 @@
     _binding(rows, first[1], plan)
     size, count = len(far), len(group.serving)
     across = np.flatnonzero(far).astype(np.int32)
-    keep = [Row(across, np.ones(len(across)), -np.inf, float(first[0] @ far) + TOLERANCE)] if len(across) else []
+    keep = [Row(across, far[across], -np.inf, float(first[0] @ far) + TOLERANCE)] if len(across) else []
     columns = np.arange(size, dtype=np.int32).reshape(-1, count)
     left = [float(group.left[zone]) / group.scale for zone in group.serving]
     ones = np.ones(len(group.asking))
