--- a/benchmarks/common.py
+++ b/benchmarks/common.py
@@ -54,3 +54,23 @@
     path.write_text("\n".join([head, *sections]))
     print("\n".join([head, *sections]))
     return path
+
+
+def chart(name: str, title: str, labels: list[str], bars: dict[str, list[float]]) -> None:
+    """Bars by label, a colour for each key, kept beside the tables."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    matplotlib.rcParams["svg.hashsalt"] = "yardbank"  # the same figures give the same file
+    figure, axes = pyplot.subplots(figsize=(8, 3.5))
+    width = 0.8 / len(bars)
+    for index, (key, values) in enumerate(bars.items()):
+        axes.bar([place + index * width for place in range(len(labels))], values, width, label=key)
+    axes.set_xticks([place + 0.4 - width / 2 for place in range(len(labels))], labels)
+    axes.set_title(title)
+    axes.legend()
+    figure.tight_layout()
+    figure.savefig(KEPT / f"{name}.svg", metadata={"Date": None})
+    pyplot.close(figure)
