A plan says how far from the least it is, and which limits it was made without

Cause: a plan that ran out of time, or was held back by most_moved, looked like an optimal one; an operator could not get any plan where limits conflict.

--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -12,8 +12,9 @@
 
 from tests.bruteforce import check, exact, grid, written
 from yardbank.cli import main
+from yardbank.membership.document import read_plans
 from yardbank.plan import Demand, Limits, PlanServer, Problem, solve
-from yardbank.plan.model import warmth_of
+from yardbank.plan.model import relaxed, warmth_of
 
 
 def test_the_same_verdict_and_optimum_as_brute_force():
@@ -174,6 +175,30 @@
         Problem(servers, asked, Limits(prices={("a", "b"): 0.0}))
 
 
+def test_the_gap_tells_how_far_from_the_least_a_plan_is():
+    servers = (PlanServer("a1", "g", "a", 100), PlanServer("b1", "g", "b", 100))
+    asked, key = (Demand("read", "g", "a", 80),), ("read", "g", "a")
+    plan = solve(Problem(servers, asked))
+    assert plan.proven and plan.gap == 0
+    held = solve(Problem(servers, asked, Limits(most_moved=0.25, before={key: {"b1": 1.0}})))
+    assert held.gap == pytest.approx(0.75) and not held.proven  # three quarters still cross, and need not
+    late = solve(Problem(servers, asked), seconds=1e-12)  # no time for any program: within all limits all the same
+    assert late.feasible and sum(late.shares[key].values()) == pytest.approx(1)
+
+
+def test_limits_are_taken_away_only_by_name_and_the_plan_says_so(tmp_path):
+    file, out = tmp_path / "model.hcl", tmp_path / "made.hcl"
+    file.write_text(MODEL.replace("a = 0.5", "a = 0.4"))
+    assert call("solve", file, "--zone", "a", "--out", out).exit_code == 4 and not out.exists()
+    done = call("solve", file, "--zone", "a", "--out", out, "--relax", "spill")
+    assert done.exit_code == 0 and "WITHOUT spill" in done.output and 'relaxed = "spill"' in out.read_text()
+    (made,) = read_plans({"made.hcl": out.read_bytes()})
+    assert made.relaxed == "spill" and made.proven
+    assert call("solve", file, "--relax", "demand").exit_code == 2
+    with pytest.raises(ValueError, match="none of spill"):
+        relaxed(Problem((), ()), ("demand",))
+
+
 def test_equals_are_shared_evenly_and_the_same_input_gives_the_same_plan():
     servers = tuple(PlanServer(f"s{n}", "g", "a", 10) for n in range(4))
     problem = Problem(servers, (Demand("read", "g", "a", 20), Demand("status", "g", "a", 4)))
--- a/yardbank/cli/plan.py
+++ b/yardbank/cli/plan.py
@@ -19,7 +19,7 @@
 from yardbank.membership.watcher import read_files
 from yardbank.plan.document import PlanError, moved, read_problem, render
 from yardbank.plan.force import MadePlan, list_hash
-from yardbank.plan.model import Problem
+from yardbank.plan.model import RELAXABLE, Problem, relaxed
 from yardbank.plan.solver import Plan, solve
 
 EXIT_INFEASIBLE, EXIT_HELD = 4, 3
@@ -30,7 +30,9 @@
     """Shares of reads worked out ahead."""
 
 
-def _solved(file: Path, before: Path | None = None) -> tuple[Problem, Plan, bytes]:
+def _solved(
+    file: Path, before: Path | None = None, without: tuple[str, ...] = (), seconds: float = 0.0
+) -> tuple[Problem, Plan, bytes]:
     old: dict[tuple[str, str, str], dict[str, float]] = {}
     try:
         if before is not None:
@@ -44,7 +46,7 @@
         sys.exit(EXIT_FAULT)
     try:
         data = file.read_bytes()
-        problem = read_problem(data.decode(), str(file), old)
+        problem = relaxed(read_problem(data.decode(), str(file), old), without)
     except OSError as fault:
         click.echo(f"yardbank: {file}: {fault.strerror or fault}", err=True)
     except UnicodeDecodeError:
@@ -53,7 +55,7 @@
         for line in fault.faults:
             click.echo(f"yardbank: {line}", err=True)
     else:
-        return problem, solve(problem), data
+        return problem, solve(problem, seconds), data
     sys.exit(EXIT_FAULT)
 
 
@@ -74,12 +76,21 @@
 @click.option("--out", type=click.Path(path_type=Path), help="Where to: a part of a watched list.")
 @click.option("--fade", default="1h", show_default=True, help="So old, the plan begins to give way to equal shares.")
 @click.option("--from", "before", type=click.Path(path_type=Path), help="The plan in force, as JSON, for most_moved.")
+@click.option("--relax", multiple=True, type=click.Choice(RELAXABLE), help="Take these limits away; the plan says so.")
+@click.option("--seconds", type=click.FloatRange(0), default=60.0, show_default=True, help="Bound of each program.")
 @click.option("--json", "as_json", is_flag=True, help="Print the plan as JSON.")
 def solve_command(
-    file: Path, zone: str | None, out: Path | None, fade: str, before: Path | None, as_json: bool
+    file: Path,
+    zone: str | None,
+    out: Path | None,
+    fade: str,
+    before: Path | None,
+    relax: tuple[str, ...],
+    seconds: float,
+    as_json: bool,
 ) -> None:
     """Solve the model in FILE. Exit code 4: nothing is feasible, and nothing is written."""
-    problem, found, data = _solved(file, before)
+    problem, found, data = _solved(file, before, relax, seconds)
     _stop_if_infeasible(found)
     try:
         duration(fade)
@@ -91,16 +102,20 @@
         sys.exit(EXIT_FAULT)
     if out is not None and zone is not None:
         part = out.with_name(f".{out.name}.new")
-        part.write_text(render(problem, found, zone, data, time.time(), fade))
+        part.write_text(render(problem, found, zone, data, time.time(), fade, ' '.join(relax)))
         os.replace(part, out)
     if as_json:
         shares = [
             {"class": kind, "group": group, "zone": asked, "shares": by_server}
             for (kind, group, asked), by_server in sorted(found.shares.items())
         ]
-        click.echo(json.dumps({"shares": shares, "crossing": found.crossing, "used": found.used}, indent=2))
+        whole = {"shares": shares, "crossing": found.crossing, "used": found.used}
+        whole |= {"gap": found.gap, "proven": found.proven, "relaxed": list(relax)}
+        click.echo(json.dumps(whole, indent=2))
         return
-    table = Table(title=f"Shares; {found.crossing:g}/s between zones", title_justify="left")
+    marks = "" if found.proven else f"; NOT PROVEN: at most {found.gap:.2%} of reads above the least"
+    marks += f"; WITHOUT {' '.join(relax)}" if relax else ""
+    table = Table(title=f"Shares; {found.crossing:g}/s between zones{marks}", title_justify="left")
     for column in ("class", "group", "asked in", "server", "share"):
         table.add_column(column)
     for (kind, group, asked), by_server in sorted(found.shares.items()):
--- a/yardbank/membership/document.py
+++ b/yardbank/membership/document.py
@@ -237,7 +237,7 @@
 
 def _plan(name: str, block: Body, plans: list[MadePlan], faults: list[str]) -> None:
     where = f"{name}:{block.line}: plan {block.label!r}"
-    known = {"list": str, "made": (int, float), "fade": str, "proven": bool}
+    known = {"list": str, "made": (int, float), "fade": str, "proven": bool, "relaxed": str}
     for key, line in block.lines.items():
         value = block.attributes[key]
         if key not in known:
@@ -266,7 +266,7 @@
         by_server = {server: weight for server, weight, _ in weights}
         plans.append(
             MadePlan(block.label, block.attributes["list"], float(block.attributes["made"]), fade / 1e9, by_server,
-                     block.attributes.get("proven", True), switchover)
+                     block.attributes.get("proven", True), switchover, block.attributes.get("relaxed", ""))
         )  # fmt: skip
 
 
--- a/yardbank/plan/document.py
+++ b/yardbank/plan/document.py
@@ -159,11 +159,15 @@
     return found
 
 
-def render(problem: Problem, plan: Plan, zone: str, source: bytes, made: float, fade: str = "1h") -> str:
+def render(
+    problem: Problem, plan: Plan, zone: str, source: bytes, made: float, fade: str = "1h", without: str = ""
+) -> str:
     """A part of a watched list: the plan for the gateways of one zone, and which list it is for."""
     hashed = list_hash(problem.servers)
     lines = [f"# worked out from input {xxhash.xxh3_64_hexdigest(source)}", f'plan "{zone}" {{', f'  list = "{hashed}"']
-    lines += [f"  made = {made:.3f}", f'  fade = "{fade}"', "  weights {"]
+    lines += [f"  made = {made:.3f}", f'  fade = "{fade}"', f"  proven = {'true' if plan.proven else 'false'}"]
+    lines += [f'  relaxed = "{without}"'] if without else []
+    lines += ["  weights {"]
     lines += [f"    {name} = {weight}" for name, weight in sorted(weights(problem, plan, zone).items())]
     lines += ["  }", "  switchover {"]
     lines += [f'    {group} = "{name}"' for group, name in sorted(candidates(problem).items())]
--- a/yardbank/plan/force.py
+++ b/yardbank/plan/force.py
@@ -33,6 +33,7 @@
     weights: Mapping[str, float]
     proven: bool = True
     switchover: Mapping[str, str] = field(default_factory=dict)  # by group: who should take over
+    relaxed: str = ""  # limits that were taken away by name to get a plan at all
 
 
 @dataclass(slots=True, frozen=True)
@@ -90,7 +91,8 @@
     wanted = list_hash(servers)
     if last.list_hash != wanted:
         return None, f"held back: made for list {last.list_hash}, and this is {wanted}"
-    return last, f"plan of {last.made:.0f} in force" + ("" if last.proven else " (not proven optimal)")
+    marks = ["not proven optimal"] * (not last.proven) + [f"without its limits of {last.relaxed}"] * bool(last.relaxed)
+    return last, f"plan of {last.made:.0f} in force" + (f" ({', '.join(marks)})" if marks else "")
 
 
 def _faded(plan: MadePlan, wall: float) -> tuple[float, float | None]:
--- a/yardbank/plan/highs.py
+++ b/yardbank/plan/highs.py
@@ -36,7 +36,7 @@
         os.close(kept)
 
 
-def run(cost: np.ndarray, rows: list[Row]) -> tuple[np.ndarray, np.ndarray] | None:
+def run(cost: np.ndarray, rows: list[Row], seconds: float = 0.0) -> tuple[np.ndarray, np.ndarray] | None:
     """Least cost: values of the columns and prices of the rows; None where HiGHS finds no optimum."""
     lp = highspy.HighsLp()
     lp.num_col_, lp.num_row_ = len(cost), len(rows)
@@ -52,6 +52,8 @@
         model = highspy.Highs()
     for name, value in (("output_flag", False), ("threads", 1), ("random_seed", 1)):
         model.setOptionValue(name, value)
+    if seconds > 0:
+        model.setOptionValue("time_limit", seconds)
     model.passModel(lp)
     model.run()
     if model.getModelStatus() != highspy.HighsModelStatus.kOptimal:
--- a/yardbank/plan/model.py
+++ b/yardbank/plan/model.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,3 +88,24 @@
     if cold <= 0 or age >= cold:
         return 1.0
     return cold_share + (1 - cold_share) * max(0.0, age) / cold
+
+
+RELAXABLE = ("spill", "most_used", "survive", "most_moved")
+
+
+def relaxed(problem: Problem, names: tuple[str, ...]) -> Problem:
+    """The problem without some limits, by name. Raises ``ValueError`` for a name that is none."""
+    limits = problem.limits
+    for name in names:
+        match name:
+            case "spill":
+                limits = replace(limits, spill={})
+            case "most_used":
+                limits = replace(limits, most_used=1.0)
+            case "survive":
+                limits = replace(limits, survive_server=False, survive_zone=False)
+            case "most_moved":
+                limits = replace(limits, most_moved=1.0)
+            case _:
+                raise ValueError(f"{name!r} is none of {', '.join(RELAXABLE)}")
+    return replace(problem, limits=limits)
--- a/yardbank/plan/solver.py
+++ b/yardbank/plan/solver.py
@@ -20,6 +20,7 @@
 from yardbank.plan.model import Demand, PlanServer, Problem
 
 DUST = 1e-7  # of what a zone asks: less than that goes along with the rest
+PROVEN = 1e-6  # of all reads: as close to the least as floating point tells
 TOLERANCE = 1e-9  # of the largest rate: what a later aim may cost an earlier one
 
 
@@ -45,6 +46,12 @@
     used: dict[str, float] = field(default_factory=dict)  # of each server's usable capacity
     binding: list[str] = field(default_factory=list)  # limits that hold the plan back, and what one more would bring
     conflicts: list[Conflict] = field(default_factory=list)
+    gap: float = 0.0  # the price of what crosses, above the least there is, as a part of all reads
+
+    @property
+    def proven(self) -> bool:
+        """Whether no plan crosses zones for less, but for rounding."""
+        return self.gap <= PROVEN
 
     @property
     def feasible(self) -> bool:
@@ -197,9 +204,12 @@
     return found
 
 
-def solve(problem: Problem) -> Plan:
-    """The plan, group by group. Raises ``PlanFault`` if what was found breaks a limit."""
-    steps = solve_steps(problem)
+def solve(problem: Problem, seconds: float = 0.0) -> Plan:
+    """The plan, group by group. Raises ``PlanFault`` if what was found breaks a limit.
+
+    ``seconds`` bounds each program (0: none); what was not proved in time is a plan within all limits all the same.
+    """
+    steps = solve_steps(problem, seconds)
     while True:
         try:
             next(steps)
@@ -208,13 +218,13 @@
             return found
 
 
-def solve_steps(problem: Problem) -> Generator[str, None, Plan]:
+def solve_steps(problem: Problem, seconds: float = 0.0) -> Generator[str, None, Plan]:
     """As ``solve``, a group at a time: for background work. Yields each group's name once it is done."""
     plan = Plan()
     for name in problem.groups():
         group = _Group(name, problem)
         if group.demands:
-            _solve_group(group, plan)
+            _solve_group(group, plan, seconds)
         for server in group.servers:
             plan.used.setdefault(server.name, 0.0)
         yield name
@@ -225,12 +235,12 @@
     return plan
 
 
-def _solve_group(group: _Group, plan: Plan) -> None:
+def _solve_group(group: _Group, plan: Plan, seconds: float) -> None:
     if lost := group.not_survived():
         plan.conflicts.append(Conflict(group.group, (lost[0][0],), float(lost[0][1])))
         return
     flow = group.flow()
-    chosen = _choose(group, plan) if group.servers else None
+    chosen, least = _choose(group, plan, seconds) if group.servers else (None, 0.0)
     if chosen is not None:
         flow.begin(_whole_rates(group, chosen))
     if (cut := flow.fill()) is not None:
@@ -245,14 +255,19 @@
         wanted = held
     load = dict.fromkeys((server.name for server in group.servers), Fraction(0))
     zones = {server.name: server.zone for server in group.servers}
-    crossing = Fraction(0)
+    crossing = price = Fraction(0)
+    prices = group.limits.prices
     for demand, rate, parts in zip(group.demands, group.rates, wanted, strict=True):
         held_ = {name: float(part) for name, part in parts.items()}
         plan.shares[demand.kind, demand.group, demand.zone] = {name: part for name, part in held_.items() if part > 0}
         for name, part in parts.items():
             load[name] += rate * part
-            crossing += rate * part if zones[name] != demand.zone else 0
+            if zones[name] != demand.zone:
+                crossing += rate * part
+                price += rate * part * written(prices.get((demand.zone, zones[name]), 1.0))
     plan.crossing += float(crossing)
+    whole = float(sum(group.rates, Fraction(0)))
+    plan.gap = max(plan.gap, (float(price) - least * group.scale) / whole)
     for server, room in zip(group.servers, group.usable, strict=True):
         plan.used[server.name] = float(load[server.name] / room) if room else 0.0
 
@@ -341,12 +356,12 @@
     return worst
 
 
-def _choose(group: _Group, plan: Plan) -> np.ndarray | None:
-    """What the programs choose, one aim after the other; None where the first finds nothing feasible."""
+def _choose(group: _Group, plan: Plan, seconds: float) -> tuple[np.ndarray | None, float]:
+    """What the programs choose, one aim after the other, and the least price; None where nothing was found."""
     rows, far = group.rows(), group.far()
-    first = run(far, rows)
+    first = run(far, rows, seconds)
     if first is None:
-        return None
+        return None, 0.0
     _binding(rows, first[1], plan)
     size, count = len(far), len(group.serving)
     across = np.flatnonzero(far).astype(np.int32)
@@ -359,14 +374,14 @@
         for j, room in enumerate(left)
         if room > 0
     ]
-    second = run(np.append(np.zeros(size), 1.0), [*rows, *keep, *busy])
+    second = run(np.append(np.zeros(size), 1.0), [*rows, *keep, *busy], seconds)
     if second is None:
-        return first[0]
+        return first[0], float(first[0] @ far)
     most = float(second[0][size]) + TOLERANCE
     bounds = [Row(columns[:, j], ones, -np.inf, most * room + TOLERANCE) for j, room in enumerate(left)]
     turn = np.arange(size)
-    third = run((1 + (turn % count) * (1 + turn / 1000)) / size, [*rows, *keep, *bounds])
-    return third[0] if third is not None else second[0][:size]
+    third = run((1 + (turn % count) * (1 + turn / 1000)) / size, [*rows, *keep, *bounds], seconds)
+    return (third[0] if third is not None else second[0][:size]), float(first[0] @ far)
 
 
 def _binding(rows: list[Row], duals: np.ndarray, plan: Plan) -> None:
