--- a/tests/test_plan_use.py
+++ b/tests/test_plan_use.py
@@ -9,16 +9,20 @@
 from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from twisted.internet.defer import gatherResults
 
 from tests.net import Desk, run, until, world
 from tests.test_config import TEXT
+from yardbank.audit import judge
 from yardbank.cli import main
 from yardbank.gateway.api import ServerSpec
+from yardbank.ldap import messages as m
 from yardbank.membership.document import FleetError, read_plans, read_set, render
 from yardbank.membership.edit import ListReader
 from yardbank.membership.watcher import read_files
 from yardbank.plan.aperture import ApertureError, Ring, aperture
 from yardbank.plan.force import MadePlan, Place, Warming, choose, list_hash, view
+from yardbank.standin.server import Capacity
 
 NOW = 1_000_000.0
 
@@ -278,3 +282,41 @@
     told = call("diff", out, other).output
     assert "zone norte:" in told and "5.0% of reads move" in told and "n2: 1.35 -> 1.5" in told
     assert call("diff", model, other).exit_code == 2 and call("solve", model, "--fade", "x").exit_code == 2
+
+
+def test_a_cold_server_is_not_pushed_over_by_its_share(tmp_path):
+    """The plan gives n2 nearly everything; it comes back cold under load, and the sockets show what it got."""
+    capacity = Capacity(slots=1, queue=10_000, read_s=0.01, cold_s=6.0, cold_share=0.2)
+    with world(start=False, capacity=capacity, entries=2) as place:
+        folder = tmp_path / "list.d"
+        folder.mkdir()
+
+        def listed():
+            wall = time.time() - time.monotonic()
+            return [
+                ServerSpec(name, group, zone, "127.0.0.1", place.servers[name].port, name in ("n1", "r1"), "ready",
+                           wall + place.servers[name].started if place.servers[name].started else 0.0)
+                for group, members in place.members.items()
+                for name, zone in members
+            ]  # fmt: skip
+
+        specs = listed()
+        (folder / "servers.hcl").write_text(render(specs))
+        (folder / "plan.hcl").write_bytes(plan_file(specs, time.time(), n2=2.9, n3=0.05))
+        place.watched = folder
+        run(place.start_gateway)
+        gateway, desk = place.proxy.gateway, Desk(place)
+        until(lambda: gateway.list_version == 1)
+        desk.read("numbers", "bounded", staleness=0.8)
+        run(place.servers["n2"].crash)
+        run(place.servers["n2"].restart)
+        (folder / "servers.hcl").write_text(render(listed()))
+        until(lambda: gateway.list_version == 2)
+        assert run(lambda: gateway._specs["n2"].weight) <= 2.9 * 0.35  # its warmth's part, in steps
+        request = m.SearchRequest("cn=1,ou=numbers,dc=porting", 0, m.Present("cn"))
+        for _ in range(4):
+            run(lambda: gatherResults([desk.ask(request, "bounded", staleness=0.8) for _ in range(60)]))
+        got = [f for f in place.record.facts if f["kind"] == "received" and f["server"] == "n2" and f["op"] == "search"]
+        verdict = judge(sorted(place.record.facts, key=lambda fact: fact["at"]))
+        assert verdict.rules["cold_not_pushed_over"].judged == 1 and verdict.held
+        assert got  # it was given work all the same
