--- /dev/null
+++ b/yardbank/pg/messages.py
@@ -0,0 +1,283 @@
+"""Messages of PostgreSQL's protocol 3 as plain values, to frames and back (chapter "Message Formats"). No I/O.
+
+What a proxy passes on unread (rows, notices, most answers) stays a ``Frame``; only what it must understand is decoded.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from yardbank.pg.wire import (
+    CANCEL_REQUEST,
+    GSS_REQUEST,
+    SSL_REQUEST,
+    Frame,
+    Reader,
+    WireError,
+    int16,
+    int32,
+    text,
+    value,
+)
+
+MAX_PARAMETERS = 1000  # of a start-up
+
+
+@dataclass(slots=True, frozen=True)
+class Startup:
+    """A client's first word: the version and its parameters."""
+
+    version: int
+    parameters: tuple[tuple[str, str], ...]
+
+
+@dataclass(slots=True, frozen=True)
+class EncryptionRequest:
+    """May the connection be encrypted? ``code`` says how."""
+
+    code: int
+
+
+@dataclass(slots=True, frozen=True)
+class CancelRequest:
+    """Cancel what runs in another connection; protocol 3.2 allows keys of up to 256 octets."""
+
+    process: int
+    key: bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Query:
+    """One text of one or several statements."""
+
+    text: str
+
+
+@dataclass(slots=True, frozen=True)
+class Parse:
+    """Prepare a statement."""
+
+    name: str
+    text: str
+    types: tuple[int, ...] = ()
+
+
+@dataclass(slots=True, frozen=True)
+class Bind:
+    """Make a portal of a statement. Formats and values as they stand on the wire."""
+
+    portal: str
+    statement: str
+    rest: bytes = b"\0\0\0\0\0\0"  # parameter formats, parameters, result formats
+
+    def parameters(self) -> tuple[tuple[int, ...], tuple[bytes | None, ...], tuple[int, ...]]:
+        """Formats, values and result formats. Raises ``WireError``."""
+        reader = Reader(self.rest)
+        formats = tuple(reader.int16("format") for _ in range(reader.count("formats", 2)))
+        values = tuple(reader.value("parameter") for _ in range(reader.count("parameters", 4)))
+        results = tuple(reader.int16("result format") for _ in range(reader.count("result formats", 2)))
+        reader.end("Bind")
+        return formats, values, results
+
+
+@dataclass(slots=True, frozen=True)
+class Describe:
+    """``S`` a statement, ``P`` a portal."""
+
+    what: str
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class Close:
+    """``S`` a statement, ``P`` a portal."""
+
+    what: str
+    name: str
+
+
+@dataclass(slots=True, frozen=True)
+class Execute:
+    """Run a portal; ``most`` rows, 0: all."""
+
+    portal: str
+    most: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Plain:
+    """A message without fields that matter here: Sync, Flush, Terminate, CopyDone."""
+
+    type: int
+
+
+@dataclass(slots=True, frozen=True)
+class Data:
+    """Octets: CopyData, CopyFail's text, a password or a SASL message."""
+
+    type: int
+    octets: bytes
+
+
+Client = Startup | EncryptionRequest | CancelRequest | Query | Parse | Bind | Describe | Close | Execute | Plain | Data
+
+SYNC, FLUSH, TERMINATE, COPY_DONE = (Plain(ord(c)) for c in "SHXc")
+_DATA = frozenset(b"dfpF")  # F, a function call, is passed on unread
+_PLAIN = frozenset(b"SHXc")
+
+
+def decode_first(frame: Frame) -> Startup | EncryptionRequest | CancelRequest:
+    """A client's first message. Raises ``WireError``."""
+    reader = Reader(frame.body)
+    code = reader.int32("version")
+    if code in (SSL_REQUEST, GSS_REQUEST):
+        reader.end("request")
+        return EncryptionRequest(code)
+    if code == CANCEL_REQUEST:
+        process = reader.int32("process")
+        key = reader.rest()
+        if not 4 <= len(key) <= 256:
+            raise WireError(f"CancelRequest: a key of {len(key)} octets")
+        return CancelRequest(process, key)
+    if code >> 16 != 3:
+        raise WireError(f"protocol version {code >> 16}.{code & 0xFFFF}")
+    found: list[tuple[str, str]] = []
+    while name := reader.text("parameter"):
+        found.append((name, reader.text(f"parameter {name!r}")))
+        if len(found) > MAX_PARAMETERS:
+            raise WireError(f"more than {MAX_PARAMETERS} parameters")
+    reader.end("StartupMessage")
+    return Startup(code, tuple(found))
+
+
+def decode_client(frame: Frame) -> Client:
+    """A client's message after the first. Raises ``WireError`` naming the field."""
+    kind, reader = chr(frame.type), Reader(frame.body)
+    made: Client
+    match kind:
+        case "Q":
+            made = Query(reader.text("query"))
+        case "P":
+            name, query = reader.text("statement"), reader.text("query")
+            types = tuple(reader.int32("type") & 0xFFFFFFFF for _ in range(reader.count("types", 4)))
+            made = Parse(name, query, types)
+        case "B":
+            made = Bind(reader.text("portal"), reader.text("statement"), reader.rest())
+            made.parameters()
+            return made
+        case "D" | "C":
+            what = chr(reader.octet("kind"))
+            if what not in "SP":
+                raise WireError(f"kind {what!r} is neither S nor P")
+            made = (Describe if kind == "D" else Close)(what, reader.text("name"))
+        case "E":
+            made = Execute(reader.text("portal"), reader.int32("rows"))
+        case _ if frame.type in _PLAIN:
+            made = Plain(frame.type)
+        case _ if frame.type in _DATA:
+            return Data(frame.type, frame.body)
+        case _:
+            raise WireError(f"message type {kind!r}")
+    reader.end(type(made).__name__)
+    return made
+
+
+def encode_client(message: Client) -> Frame:
+    """The frame of a client's message."""
+    match message:
+        case Startup(version, parameters):
+            body = b"".join(text(name) + text(held) for name, held in parameters)
+            return Frame(0, int32(version) + body + b"\0")
+        case EncryptionRequest(code):
+            return Frame(0, int32(code))
+        case CancelRequest(process, key):
+            return Frame(0, int32(CANCEL_REQUEST) + int32(process) + key)
+        case Query(query):
+            return Frame(ord("Q"), text(query))
+        case Parse(name, query, types):
+            numbers = b"".join(number.to_bytes(4, "big") for number in types)
+            return Frame(ord("P"), text(name) + text(query) + int16(len(types)) + numbers)
+        case Bind(portal, statement, rest):
+            return Frame(ord("B"), text(portal) + text(statement) + rest)
+        case Describe(what, name):
+            return Frame(ord("D"), what.encode() + text(name))
+        case Close(what, name):
+            return Frame(ord("C"), what.encode() + text(name))
+        case Execute(portal, most):
+            return Frame(ord("E"), text(portal) + int32(most))
+        case Plain(kind):
+            return Frame(kind, b"")
+        case Data(kind, octets):
+            return Frame(kind, octets)
+
+
+# What servers say, as far as it must be understood
+
+
+@dataclass(slots=True, frozen=True)
+class Fault:
+    """ErrorResponse and NoticeResponse: fields by their letter."""
+
+    fields: tuple[tuple[str, str], ...]
+    notice: bool = False
+
+    @property
+    def state(self) -> str:
+        """The SQLSTATE."""
+        return dict(self.fields).get("C", "")
+
+
+@dataclass(slots=True, frozen=True)
+class Ready:
+    """ReadyForQuery: ``I`` idle, ``T`` in a transaction, ``E`` in a failed one."""
+
+    status: str
+
+
+def read_fault(frame: Frame) -> Fault:
+    """Raises ``WireError``."""
+    reader, found = Reader(frame.body), []
+    while (letter := reader.octet("field")) != 0:
+        found.append((chr(letter), reader.text("field")))
+    reader.end("ErrorResponse")
+    return Fault(tuple(found), frame.type == ord("N"))
+
+
+def write_fault(fault: Fault) -> Frame:
+    """The frame of an error or a notice."""
+    body = b"".join(letter.encode() + text(held) for letter, held in fault.fields)
+    return Frame(ord("N" if fault.notice else "E"), body + b"\0")
+
+
+def error(state: str, message: str, hint: str = "", severity: str = "ERROR") -> Frame:
+    """An error of our own."""
+    fields = [("S", severity), ("V", severity), ("C", state), ("M", message)] + ([("H", hint)] if hint else [])
+    return write_fault(Fault(tuple(fields)))
+
+
+def read_ready(frame: Frame) -> Ready:
+    """Raises ``WireError``."""
+    if frame.body not in (b"I", b"T", b"E"):
+        raise WireError(f"ReadyForQuery: status {frame.body!r}")
+    return Ready(frame.body.decode())
+
+
+def read_parameter(frame: Frame) -> tuple[str, str]:
+    """ParameterStatus: name and value. Raises ``WireError``."""
+    reader = Reader(frame.body)
+    found = reader.text("parameter"), reader.text("value")
+    reader.end("ParameterStatus")
+    return found
+
+
+def read_row(frame: Frame) -> tuple[bytes | None, ...]:
+    """DataRow. Raises ``WireError``."""
+    reader = Reader(frame.body)
+    found = tuple(reader.value("column") for _ in range(reader.count("columns", 4)))
+    reader.end("DataRow")
+    return found
+
+
+def write_row(columns: tuple[bytes | None, ...]) -> Frame:
+    """The frame of a row."""
+    return Frame(ord("D"), int16(len(columns)) + b"".join(value(column) for column in columns))
--- a/yardbank/plan/document.py
+++ b/yardbank/plan/document.py
@@ -35,6 +35,8 @@
     capacity: Annotated[float, Field(ge=0)]
     taken: Annotated[float, Field(ge=0)] = 0.0
     age: Annotated[float, Field(ge=0)] | None = None  # seconds since it started; left out: long
+    primary: bool = False
+    kind: str = ""
 
 
 class _Demand(_Model):
@@ -87,6 +89,7 @@
                 PlanServer(
                     label, s.group, s.zone, s.capacity,
                     1.0 if s.age is None else warmth_of(s.age, limits.cold, limits.cold_share), s.taken,
+                    s.primary, s.kind,
                 )
                 for label, s in found["server"]
             ),
@@ -150,12 +153,14 @@
 
 
 def candidates(problem: Problem) -> dict[str, str]:
-    """By group, who should take over from its primary: the warm server with most to give, the first name of equals."""
+    """By group, who should take over from its primary: of its kind if there is one, warm, with most to give."""
     found: dict[str, str] = {}
     for group in problem.groups():
-        fit = [s for s in problem.servers if s.group == group and s.taken == 0 and s.usable > 0]
+        members = [s for s in problem.servers if s.group == group]
+        kinds = {s.kind for s in members if s.primary}
+        fit = [s for s in members if not s.primary and s.usable > 0]
         if fit:
-            found[group] = min(fit, key=lambda s: (-s.warmth, -s.usable, s.name)).name
+            found[group] = min(fit, key=lambda s: (s.kind not in kinds, -s.warmth, -s.usable, s.name)).name
     return found
 
 
--- a/yardbank/plan/model.py
+++ b/yardbank/plan/model.py
@@ -16,6 +16,8 @@
     capacity: float
     warmth: float = 1.0  # the share of its capacity that it surely has now
     taken: float = 0.0
+    primary: bool = False
+    kind: str = ""  # of machine
 
     @property
     def usable(self) -> float:
