A daemon's port in tests cannot be taken by another world before it listens

Cause: with the suite in four processes a fresh clone's run failed once: a port that was found free and closed again was given by the system to a stand-in of another process, and the client's bind met that.

Change: such ports come from a block of each process's own, below the range that the system hands out.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -16,7 +16,7 @@
 from tests.net import Desk, ensure_reactor, run, shown, until, world
 from yardbank.daemon.restarts import Restarts
 from yardbank.lab.client import connect
-from yardbank.lab.world import DESK_DN, DESK_PASSWORD
+from yardbank.lab.world import DESK_DN, DESK_PASSWORD, free_port
 from yardbank.ldap import messages as m
 
 
@@ -44,7 +44,7 @@
 
 def test_workers_share_a_port_and_a_dead_one_is_started_again(tmp_path):
     with world(start=False) as place:
-        place.port = run(lambda: _free_port())
+        place.port = run(free_port)
         file, log = tmp_path / "g.hcl", tmp_path / "log"
         file.write_text(place.settings().replace('level = "warning"', 'level = "info"'))
         with log.open("wb") as out:
@@ -76,15 +76,6 @@
             process.kill()
 
 
-def _free_port():
-    from yardbank.proxy import listening_socket
-
-    made = listening_socket("127.0.0.1", 0, False)
-    port = made.getsockname()[1]
-    made.close()
-    return port
-
-
 def test_settings_that_cannot_change_in_service_are_refused_whole():
     from yardbank.config import load_text
 
--- a/yardbank/lab/world.py
+++ b/yardbank/lab/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import signal
@@ -10,6 +11,7 @@
 import tempfile
 import time
 from collections.abc import Callable, Mapping, Sequence
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -73,6 +75,26 @@
 """
 
 
+_ports = count()
+
+
+def free_port() -> int:
+    """A port for a process that is yet to listen.
+
+    Below the range that the system hands out by itself, in a block of this process's own: else another world's
+    server may have taken it before the process comes to listen.
+    """
+    block = 10_000 + os.getpid() % 200 * 100
+    for _ in range(100):
+        port = block + next(_ports) % 100
+        try:
+            listening_socket("127.0.0.1", port, False).close()
+        except OSError:
+            continue
+        return port
+    raise OSError(errno.EADDRINUSE, "no port of this process's block is free")
+
+
 class Recorder:
     """All facts, in memory and maybe in a file, stamped with the machine's steady time."""
 
@@ -230,9 +252,7 @@
         """Start it, embedded or as a process; fires when it listens."""
         self._runs += 1
         if not self.port:  # one port for good: the settings name it
-            made = listening_socket("127.0.0.1", 0, False)
-            self.port = made.getsockname()[1]
-            made.close()
+            self.port = free_port()
         if not self.daemon:
             more: dict[str, Any] = {"router": self._router} if self._router else {}
             self.proxy = Proxy(load_text(self.settings()), self.reactor, record=self.record, **more)
