What is said of glue and renames leaves the front; fewer parts at once is logged

Cause: the LDAP front itself decided result codes for names above the groups and whether a rename leaves its group, and the window of parts shrank without a line in the log.

--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -44,6 +44,12 @@
         Budget(0)
 
 
+def test_renames_that_leave_a_group_or_carry_anothers_entries_are_told():
+    tree = Tree({"top": "dc=x", "deep": "ou=b,ou=a,dc=x"})
+    assert tree.moves_between("cn=1,dc=x", "cn=1,ou=b,ou=a,dc=x") and tree.moves_between("ou=a,dc=x", "ou=c,dc=x")
+    assert not tree.moves_between("cn=1,dc=x", "cn=2,dc=x") and not tree.moves_between("cn=1,dc=y", "cn=2,dc=y")
+
+
 def test_an_escaped_comma_is_no_boundary():
     tree = Tree({"a": "ou=a,dc=x"})
     assert tree.holder("cn=1\\,ou=a,dc=x") is None and tree.holder("cn=1\\,2,ou=a,dc=x") == "a"
--- a/yardbank/ldap/classify.py
+++ b/yardbank/ldap/classify.py
@@ -12,7 +12,8 @@
 from yardbank.interface import RequestClass
 from yardbank.ldap import filters
 from yardbank.ldap import messages as m
-from yardbank.spread.tree import Tree
+from yardbank.ldap.match import matches
+from yardbank.spread.tree import Tree, glue_attributes
 
 READS, WRITES = ("search", "compare"), ("add", "delete", "modify", "modifydn", "passwd")
 SCOPES = {"base": m.Scope.BASE, "one": m.Scope.ONE, "sub": m.Scope.SUBTREE, "subordinate": m.Scope.SUBORDINATE}
@@ -69,6 +70,32 @@
     return filters.fold(getattr(operation, "entry", ""))
 
 
+def renamed(request: m.ModifyDNRequest) -> tuple[str, str]:
+    """An entry's folded name before and after."""
+    entry = filters.fold(request.entry)
+    superior = filters.parent(entry) if request.new_superior is None else filters.fold(request.new_superior)
+    return entry, ",".join(filter(None, (filters.fold(request.new_rdn), superior)))
+
+
+def of_unheld(tree: Tree, operation: m.Request, entry: str) -> tuple[m.Code, str]:
+    """What is said of a name that no group holds: result code and matchedDN. Glue answers as a server's entry would."""
+    written = tree.glue(entry)
+    if written is None:
+        return m.Code.NO_SUCH_OBJECT, tree.matched(entry)
+    match operation:
+        case m.CompareRequest(_, attribute, value):
+            held = {name.lower(): values for name, values in glue_attributes(written)}
+            if attribute.lower() not in held:
+                return m.Code.NO_SUCH_ATTRIBUTE, ""
+            found = matches(m.Match("=", attribute, value), lambda name: held.get(name.lower(), ()))
+            return (m.Code.COMPARE_TRUE if found else m.Code.COMPARE_FALSE), ""
+        case m.AddRequest():
+            return m.Code.ENTRY_EXISTS, ""
+        case m.DeleteRequest():
+            return m.Code.NOT_ALLOWED_ON_NON_LEAF, ""
+    return m.Code.UNWILLING, ""
+
+
 class Classifier:
     """Rules of one settings file, narrowest first."""
 
--- a/yardbank/ldap/front.py
+++ b/yardbank/ldap/front.py
@@ -19,13 +19,11 @@
 from yardbank.ldap import codec, filters
 from yardbank.ldap import messages as m
 from yardbank.ldap.ber import SEQUENCE, BerError, expect, header, text
-from yardbank.ldap.classify import Classifier, entry_of
+from yardbank.ldap.classify import Classifier, entry_of, of_unheld, renamed
 from yardbank.ldap.exchange import Exchange, prepare
-from yardbank.ldap.match import matches
 from yardbank.ldap.spread import SORTED, Fan, Search, spans
 from yardbank.ldap.state import Abandoned, Asked, Broken, Closed, ServerEnd, notice_of_disconnection
 from yardbank.spread import Reach
-from yardbank.spread.tree import glue_attributes
 
 PRE_READ = "1.3.6.1.1.13.1"
 PASSED_ON = frozenset((m.Oid.POST_READ, PRE_READ, m.Oid.ASSERTION, m.Oid.MANAGE_DSA_IT, m.Oid.PAGED_RESULTS))
@@ -245,7 +243,7 @@
         if any(control.critical and control.oid in SORTED for control in message.controls):
             reason = "entries cannot be sorted here"
             return self._answer(message, m.Code.UNAVAILABLE_CRITICAL_EXTENSION, reason)
-        if isinstance(operation, m.ModifyDNRequest) and self._moves_between_groups(operation):
+        if isinstance(operation, m.ModifyDNRequest) and tree.moves_between(*renamed(operation)):
             return self._answer(message, m.Code.AFFECTS_MULTIPLE_DSAS, "the entry would leave its group")
         placed = self._factory.classifier.place(operation, self._identity, entry)
         if placed.group is None:
@@ -274,35 +272,12 @@
         by_identity = self._options.session_by == "identity" and self._identity
         return self._identity if by_identity else f"#{self._number}"
 
-    def _moves_between_groups(self, request: m.ModifyDNRequest) -> bool:
-        """Whether an entry, or entries below it, would come to lie in another group (RFC 4511 section 4.9)."""
-        tree, entry = self._factory.classifier.tree, filters.fold(request.entry)
-        superior = filters.parent(entry) if request.new_superior is None else filters.fold(request.new_superior)
-        new = ",".join(filter(None, (filters.fold(request.new_rdn), superior)))
-        return tree.holder(entry) != tree.holder(new) or (
-            tree.holder(entry) is not None and (tree.divided(entry) or tree.divided(new))
-        )
-
     def _unheld(self, message: m.Message, operation: m.Request, entry: str) -> None:
         """What is asked of a name that no group holds: a glue entry, or none at all."""
-        tree = self._factory.classifier.tree
-        written = tree.glue(entry)
-        if written is None:
-            matched = tree.matched(entry)
-            return self._answer(message, m.Code.NO_SUCH_OBJECT, f"no group holds {entry!r}", matched=matched)
-        if isinstance(operation, m.CompareRequest):
-            held = {name.lower() for name, _ in glue_attributes(written)}
-            if operation.attribute.lower() not in held:
-                return self._answer(message, m.Code.NO_SUCH_ATTRIBUTE)
-            wanted = m.Match("=", operation.attribute, operation.value)
-            values = {name.lower(): values for name, values in glue_attributes(written)}
-            found = matches(wanted, lambda name: values.get(name.lower(), ()))
-            return self._answer(message, m.Code.COMPARE_TRUE if found else m.Code.COMPARE_FALSE)
-        if isinstance(operation, m.AddRequest):
-            return self._answer(message, m.Code.ENTRY_EXISTS)
-        if isinstance(operation, m.DeleteRequest):
-            return self._answer(message, m.Code.NOT_ALLOWED_ON_NON_LEAF)
-        return self._answer(message, m.Code.UNWILLING, f"{written!r} stands above the groups and cannot be changed")
+        code, matched = of_unheld(self._factory.classifier.tree, operation, entry)
+        reason = {m.Code.NO_SUCH_OBJECT: f"no group holds {entry!r}",
+                  m.Code.UNWILLING: f"{entry!r} stands above the groups and cannot be changed"}  # fmt: skip
+        return self._answer(message, code, reason.get(code, ""), matched=matched)
 
     def _search_many(self, message: m.Message, request: m.SearchRequest, raw: codec.Envelope, reach: Reach) -> None:
         """A search that spans groups."""
--- a/yardbank/ldap/spread.py
+++ b/yardbank/ldap/spread.py
@@ -271,7 +271,11 @@
 
     def _ended(self, index: int, **how: bool) -> None:
         if self._numbers.pop(index, None) is not None:
-            self._fan.budget.ended(**how)
+            budget = self._fan.budget
+            before = budget.window
+            budget.ended(**how)
+            if budget.window < before:
+                self._gateway.log.info("spread_parts_fewer", at_once=budget.window, before=before)
 
     def _overdue(self) -> None:
         self._spread.overdue()
--- a/yardbank/spread/tree.py
+++ b/yardbank/spread/tree.py
@@ -84,6 +84,11 @@
         """Whether suffixes lie strictly below a name: what is done to its subtree touches several groups."""
         return name in self._below
 
+    def moves_between(self, entry: str, new: str) -> bool:
+        """Whether renaming would put an entry, or entries below it, into another group (RFC 4511 section 4.9)."""
+        holder = self.holder(entry)
+        return holder != self.holder(new) or (holder is not None and (self.divided(entry) or self.divided(new)))
+
     def matched(self, name: str) -> str:
         """The nearest glue name above one that no group holds, as written (RFC 4511 section 4.1.9 matchedDN)."""
         while name:
