Live gateway: the platform's protocol as one more entry and exit, started by run

Need: the operators put the product into service as a real gateway on their platform and measure the running program on sockets.

Change: yardbank/platform (configuration, strict statements, client and server ends without I/O, discovery's watch, admission of connections, thin Twisted around them) on the existing gateway, pools and PostgreSQL codec.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -41,6 +41,9 @@
         else:
             self.probes.append(done)
 
+    def fit(self):
+        return True
+
     def close(self):
         self.closed = True
 
--- a/yardbank/gateway/api.py
+++ b/yardbank/gateway/api.py
@@ -33,6 +33,7 @@
 
     max_open: int = 10_000  # requests taken and not yet answered
     connections: int = 8  # to one server
+    all_connections: int = 100_000  # to all servers together; at the bound an idle one gives way to a new one
     multiplex: int = 64  # attempts outstanding on one connection
     connect_timeout: int = 250 * MS
     probe_timeout: int = 250 * MS
@@ -61,6 +62,7 @@
     role: Role = Role.UNKNOWN
     commit: tuple[str, Mark] | None = None
     reason: str = ""
+    report: Position | None = None  # what the answer tells of its server besides
 
 
 @dataclass(slots=True, frozen=True)
@@ -129,6 +131,9 @@
     def probe(self, done: Callable[[Position | None], None]) -> int:
         """Ask for position and role; ``done`` is called once, with None if the answer makes no sense."""
 
+    def fit(self) -> bool:
+        """Whether it can take a further attempt now: not if it is spent, closing or brings what nobody asked for."""
+
     def close(self) -> None:
         """Close in good order."""
 
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -54,7 +54,8 @@
     """An instance of the proxy on a reactor; shares nothing with any other.
 
     ``settings`` are the decision module's own; ``backend`` reaches the servers; ``record`` is told of every
-    request, attempt and answer, as plain dictionaries. ``router`` makes the decision module's instance.
+    request, attempt and answer, as plain dictionaries. ``router`` makes the decision module's instance;
+    ``positions`` says what servers' marks mean.
     """
 
     def __init__(
@@ -70,6 +71,7 @@
         record: Record | None = None,
         log_answers: bool = False,
         router: Callable[[api.Settings], Router] = Router,
+        positions: Positions | None = None,
     ) -> None:
         self.settings, self.limits = settings, limits or Limits()
         self.log = (log or structlog.get_logger()).bind()  # bound once: a lazy logger is made anew at each line
@@ -81,7 +83,7 @@
         self._deadlines = Deadlines(self._clock.now, reactor.callLater)
         self._router = router(settings)
         self._kinds = {kind.name: kind for kind in settings.classes}
-        self._positions = Positions()
+        self._positions = positions or Positions()
         self._servers: dict[str, int] = {}  # numbers by name: a server keeps its own for good
         self._groups: dict[str, int] = {}
         self._specs: dict[str, ServerSpec] = {}
@@ -194,7 +196,9 @@
             if old and (old.host, old.port, old.group) != (spec.host, spec.port, spec.group):
                 self._retire(number)
             if number not in self._ways:
-                self._ways[number] = Way(spec, self._backend, self.limits, self._deadlines, self._clock.now, self.log)
+                self._ways[number] = Way(
+                    spec, self._backend, self.limits, self._deadlines, self._clock.now, self.log, self._has_room
+                )
             self._positions.listed(number, group, spec.primary, now)
             started = started_at(now, wall, spec.started)
             if old and old.started == spec.started:
@@ -299,6 +303,34 @@
         """Open connections by server name."""
         return {name: self._ways[number].connections for name, number in self._servers.items() if number in self._ways}
 
+    def view(self) -> dict[str, Any]:
+        """What the gateway makes of its load and its servers, for the log."""
+        router = self._router
+        servers = {}
+        for name, spec in self._specs.items():
+            server = router.servers.get(self._servers[name])
+            if server is not None:
+                way = self._ways.get(server.id)
+                servers[name] = {
+                    "group": spec.group,
+                    "zone": spec.zone,
+                    "primary": server.is_primary(),
+                    "state": spec.state,
+                    "out": len(server.waiting),
+                    "limit": round(server.limit, 1),
+                    "strain": round(server.strain, 2),
+                    "lag_ms": server.lag // 1_000_000,
+                    "failures": server.failures,
+                    "silent": server.silent,
+                    "connections": way.connections if way else 0,
+                }
+        return {
+            "owed": self._owed,
+            "held": sum(map(len, router.waiting.values())),
+            "counts": self.counts,
+            "servers": servers,
+        }
+
     def _host_stops(self) -> None:
         """The host process stops without having asked: every request taken gets its answer now."""
         if self._stopping is None:
@@ -480,7 +512,7 @@
         attempt, now = request.out.pop(number), self._clock.now()
         way = self._ways.get(server)
         name = way.server.name if way else str(server)
-        role, token = api.Role.UNKNOWN, None
+        role, token, report = api.Role.UNKNOWN, None, None
         if reply is not None:
             role = reply.role
             if role:
@@ -490,6 +522,8 @@
                 request.missed = reply.payload
             if reply.commit is not None:
                 token = self._positions.committed(server, reply.commit, attempt.sent_at)
+            if reply.report is not None:
+                report = self._positions.report(server, reply.report, attempt.sent_at)
         if status not in NEVER_RAN:
             request.may_have_run = True
         if self._record:
@@ -517,6 +551,7 @@
             closed=request.ended,
             role=role,
             position=token,
+            report=report,
         )
         self._forget(request)
         self._handle(event)
@@ -632,6 +667,17 @@
 
         self._ways[server].probe(arrived)
 
+    def _has_room(self) -> bool:
+        """Whether one connection more may be opened; at the bound the idlest of all gives way to it."""
+        ways = (*self._ways.values(), *self._retired)
+        if sum(way.connections for way in ways) < self.limits.all_connections:
+            return True
+        idle = [(used_at, number) for number, way in enumerate(ways) if (used_at := way.idle_since()) is not None]
+        if not idle:
+            return False
+        ways[min(idle)[1]].close_idlest()
+        return True
+
     def _watch_idle(self) -> None:
         """One timer for all connections, and none while there are none."""
         if self._idle_timer is None:
--- a/yardbank/gateway/link.py
+++ b/yardbank/gateway/link.py
@@ -7,7 +7,7 @@
 
 from yardbank.gateway.api import Backend, Connection, Limits, Position, Reply, ServerSpec
 from yardbank.gateway.deadlines import Deadlines
-from yardbank.gateway.pool import Pool
+from yardbank.gateway.pool import Place, Pool
 
 
 class Attempt:
@@ -86,7 +86,9 @@
         deadlines: Deadlines,
         now: Callable[[], int],
         log: Any,
+        has_room: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._has_room = has_room  # for one connection more, of all that the gateway holds
         self.server, self._backend, self._limits = server, backend, limits
         self._deadlines, self._now, self._log = deadlines, now, log
         self._pool = Pool(limits.connections, limits.multiplex, limits.idle_close)
@@ -103,7 +105,7 @@
         if until <= self._now():
             attempt.end("moot", None, "its time had run out")
             return
-        place = self._pool.place(self._now())
+        place = self._place()
         if place.slot is None:
             self._log.warning("connections_exhausted", server=self.server.name, bound=self._limits.connections)
             attempt.end("connect_failed", None, "every connection is full")
@@ -126,15 +128,15 @@
     def probe(self, done: Callable[[Position | None, int, str], None]) -> None:
         """Ask for position and role; ``done`` gets them, when the question went out, and the status."""
         state: dict[str, Any] = {"over": False, "sent": self._now()}
-        place = self._pool.place(self._now())
+        place = self._place()
 
         def finish(position: Position | None, status: str, answered: bool) -> None:
             if state["over"]:
                 return
             state["over"] = True
             self._deadlines.cancel(timer)
-            if place.slot is not None and self._pool.freed(place.slot, self._now(), state["sent"], answered):
-                self._close(place.slot)
+            if place.slot is not None:
+                self._free(place.slot, state["sent"], answered)
             done(position, state["sent"], status)
 
         def ask(connection: Connection | None) -> None:
@@ -166,6 +168,16 @@
         for number in self._pool.idle():
             self._close(number)
 
+    def idle_since(self) -> int | None:
+        """Since when its idlest connection has carried nothing (ns); None: none is idle."""
+        slot = self._pool.idlest()
+        return None if slot is None else slot.used_at
+
+    def close_idlest(self) -> None:
+        """Close the connection that has been idle longest."""
+        if (slot := self._pool.idlest()) is not None:
+            self._close(slot.number)
+
     def close_overdue(self) -> None:
         """Close what has carried nothing for the idle time."""
         for number in self._pool.overdue(self._now()):
@@ -191,8 +203,33 @@
         if channel := self._channels.get(attempt.slot):
             channel.waiting.pop(attempt, None)
             channel.out.pop(attempt, None)
-        if self._pool.freed(attempt.slot, self._now(), attempt.sent_at, answered or not attempt.gone_out):
-            self._close(attempt.slot)
+        self._free(attempt.slot, attempt.sent_at, answered or not attempt.gone_out)
+
+    def _free(self, number: int, sent_at: int, answered: bool) -> None:
+        """A place on a connection is free again, unless the connection is of no further use."""
+        channel = self._channels.get(number)
+        if channel and channel.connection and not channel.connection.fit():
+            self._pool.retire(number)
+        if self._pool.freed(number, self._now(), sent_at, answered):
+            self._close(number)
+
+    def _place(self) -> Place:
+        """A place for one attempt; connections that went bad while idle are let go first."""
+        while True:
+            place = self._pool.place(self._now())
+            if place.slot is None:
+                return place
+            if place.opening:
+                if self._has_room():
+                    return place
+                self._pool.lost(place.slot)
+                return Place()
+            connection = channel.connection if (channel := self._channels.get(place.slot)) else None
+            if connection is None or connection.fit():
+                return place
+            self._pool.freed(place.slot, self._now(), 0, True)
+            self._close(place.slot)
+            self._lost(place.slot, "of no further use")
 
     def _overdue(self, attempt: Attempt) -> None:
         if attempt.gone_out:
--- a/yardbank/gateway/pool.py
+++ b/yardbank/gateway/pool.py
@@ -98,7 +98,11 @@
 
     def idle(self) -> list[int]:
         """Open connections that carry nothing."""
-        return [slot.number for slot in self.slots.values() if slot.ready and slot.load == 0]
+        return [slot.number for slot in self.slots.values() if slot.ready and slot.load == 0 and not slot.retired]
+
+    def idlest(self) -> Slot | None:
+        """The open connection that has carried nothing for the longest time."""
+        return min((self.slots[number] for number in self.idle()), key=lambda slot: slot.used_at, default=None)
 
     def overdue(self, now: int) -> list[int]:
         """Idle connections that are to be closed by now."""
--- a/yardbank/gateway/positions.py
+++ b/yardbank/gateway/positions.py
@@ -80,3 +80,33 @@
         if group not in self._timelines:
             self._timelines[group], self._references[group] = Timeline(), References()
         return self._timelines[group]
+
+
+class ClockPositions(Positions):
+    """Marks that are times, on a clock that every machine of the platform reads: no timeline is needed.
+
+    Each mark is one integer: nanoseconds since 1970, on the clock that the gateway itself runs by.
+    """
+
+    def reference(self, server: int) -> int | None:
+        """A time needs no other mark to be placed by."""
+        return None
+
+    def committed(self, server: int, commit: tuple[str, Mark], sent_at: int) -> int:
+        """The commit's own time."""
+        return int(commit[1][0])
+
+    def told(self, server: int, position: Position, sent_at: int) -> None:
+        """Only the role is news; the time stands for itself."""
+        if position.primary is not None and server in self._group:
+            self.role(server, position.primary, sent_at)
+
+    def report(self, server: int, position: Position, sent_at: int) -> Report:
+        """What the server said, as it said it."""
+        at = max((int(mark[0]) for mark in position.marks.values()), default=None)
+        return Report(at, position.primary)
+
+    def dropped(self, server: int) -> None:
+        """Servers come and go under new names for good: nothing is kept of one that has left."""
+        super().dropped(server)
+        self._marks.pop(server, None)
--- a/yardbank/ldap/backend.py
+++ b/yardbank/ldap/backend.py
@@ -166,6 +166,10 @@
         self.transport.write(data)
         return number
 
+    def fit(self) -> bool:
+        """Operations share a connection: whatever ends it is told by its end."""
+        return True
+
     def close(self) -> None:
         """Unbind and close."""
         if self.transport is not None:
--- a/yardbank/pg/state.py
+++ b/yardbank/pg/state.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from enum import Enum
 
@@ -75,8 +75,13 @@
 class ServerEnd:
     """The end that a client connects to."""
 
-    def __init__(self, most: int = 16 << 20) -> None:
+    def __init__(self, most: int = 16 << 20, trusted: Mapping[str, str] | None = None, simple: bool = False) -> None:
+        """``trusted``: whoever names a user is let in at once and told these parameters; ``simple``: queries only.
+
+        A trusted client's first query may come straight after its start-up.
+        """
         self._framer = Framer(most, startup=True)
+        self._trusted, self._simple = trusted, simple
         self._at = _At.FIRST
         self._exchange: ServerExchange | None = None
         self._sent_first = False
@@ -91,6 +96,16 @@
         """Whether nothing is read any more."""
         return self._at is _At.OVER
 
+    @property
+    def open(self) -> bool:
+        """Whether the client was let in and has not left."""
+        return self._at is _At.OPEN
+
+    @property
+    def waiting(self) -> int:
+        """Octets kept of a message that is not whole."""
+        return self._framer.waiting
+
     def take_output(self) -> bytes:
         """What is to be written now."""
         found, self._out = bytes(self._out), bytearray()
@@ -147,7 +162,12 @@
                     return
                 self._framer.started()
                 self._at = _At.NAMED
-                events.append(WantsIn(named))
+                if self._trusted is None:
+                    events.append(WantsIn(named))
+                else:
+                    self.admit()
+                    self.welcome(self._trusted, 0, bytes(4))
+                    events.append(LetIn())
 
     def challenge(self, kept: Verifier, nonce: str) -> None:
         """Ask for a proof of the password."""
@@ -184,7 +204,7 @@
         self._at = _At.PROVED
         events.append(LetIn())
 
-    def welcome(self, parameters: dict[str, str], process: int, key: bytes) -> None:
+    def welcome(self, parameters: Mapping[str, str], process: int, key: bytes) -> None:
         """The client is in: what it must know of the session, and how to cancel."""
         assert self._at is _At.PROVED
         self._at = _At.OPEN
@@ -209,6 +229,8 @@
                 events.append(Pipeline(tuple(self._gathered), False))
                 self._clear()
             events.append(Pipeline((message,), True))
+        elif self._simple:
+            self._break(events, "0A000", "only simple queries are taken here")
         else:
             self._gathered.append(message)
             self._octets += len(frame.body)
@@ -264,6 +286,11 @@
         self.status = ""  # of the transaction, as last told
         self._out = bytearray(pg.encode_client(pg.Startup(VERSION_3_0, self._parameters)).encode())
 
+    @property
+    def waiting(self) -> int:
+        """Octets kept of a message that is not whole."""
+        return self._framer.waiting
+
     def take_output(self) -> bytes:
         """What is to be written now."""
         found, self._out = bytes(self._out), bytearray()
--- a/yardbank/pg/wire.py
+++ b/yardbank/pg/wire.py
@@ -64,12 +64,12 @@
                 most = MAX_STARTUP if self._startup else self._most
                 if not 4 <= size <= most + 4:
                     raise WireError(f"message length {size}: between 4 and {most + 4} is allowed")
+                kind = self._buffer[at] if head else 0
+                if head and not (0x31 <= kind <= 0x7A):  # before its body is waited for: noise has any length
+                    raise WireError(f"message type 0x{kind:02x}")
                 end = at + head + size
                 if len(self._buffer) < end:
                     return
-                kind = self._buffer[at] if head else 0
-                if head and not (0x31 <= kind <= 0x7A):
-                    raise WireError(f"message type 0x{kind:02x}")
                 frame = Frame(kind, bytes(self._buffer[at + head + 4 : end]))
                 at = end
                 yield frame
--- /dev/null
+++ b/yardbank/platform/admission.py
@@ -0,0 +1,127 @@
+"""Which client connections are kept, and which give way. No I/O; times in ns, passed in.
+
+Descriptors are few, and some clients connect by the hundreds and say nothing. A connection that owes its first words,
+or has sent half a message, has little time to go on; one that idles may be closed after a while, and gives way early
+where descriptors are short. One with an open request is never closed here.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from yardbank.gateway.api import MS, SECOND
+
+
+class State(Enum):
+    """What a client connection is about."""
+
+    NEW = "owes its first words"
+    PARTIAL = "has sent half a message"
+    STUCK = "does not read its answers"
+    IDLE = "has no open request"
+    BUSY = "has an open request"
+
+
+@dataclass(slots=True, frozen=True)
+class AdmissionLimits:
+    """Bounds of one gateway's client connections."""
+
+    connections: int
+    words: int = 2 * SECOND  # NEW or PARTIAL for no longer
+    stuck: int = 3 * SECOND
+    idle: int = 10 * SECOND
+    idle_least: int = 2 * SECOND  # an idle one may be closed from then on
+    new_least: int = 250 * MS  # a new one that has said nothing gives way from then on, where room is short
+
+    def __post_init__(self) -> None:
+        for name in self.__slots__:
+            if getattr(self, name) <= 0:
+                raise ValueError(f"admission.{name} must be positive")
+
+
+def share_descriptors(sockets: int) -> tuple[int, int]:
+    """How many descriptors clients and servers get; the rest is the process's own, discovery's and of a moment.
+
+    Clients with requests hold at most a third of all. Each open request holds about one server connection too.
+    """
+    own = min(32, sockets // 8)
+    servers = (sockets - own) * 2 // 5
+    return sockets - own - servers, servers
+
+
+class Admission:
+    """The client connections of one gateway, by the owner's numbers."""
+
+    def __init__(self, limits: AdmissionLimits) -> None:
+        self.limits = limits
+        self._state: dict[int, State] = {}
+        self._since: dict[State, OrderedDict[int, int]] = {state: OrderedDict() for state in State}
+
+    def __len__(self) -> int:
+        return len(self._state)
+
+    def count(self, state: State) -> int:
+        """How many connections are in one state."""
+        return len(self._since[state])
+
+    def arrived(self, number: int, now: int) -> int | None:
+        """A client has connected. Which connection has to go for it: None: none; its own number: it is turned away."""
+        way = None
+        if len(self._state) >= self.limits.connections:
+            way = self._least_needed(now)
+            if way is None:
+                return number
+            self.left(way)
+        self._state[number] = State.NEW
+        self._since[State.NEW][number] = now
+        return way
+
+    def _least_needed(self, now: int) -> int | None:
+        for state, least in ((State.NEW, self.limits.new_least), (State.IDLE, self.limits.idle_least)):
+            for number, since in self._since[state].items():
+                if now - since >= least:
+                    return number
+                break  # the oldest comes first
+        return None
+
+    def became(self, number: int, state: State, now: int) -> None:
+        """What a connection is about now; its time runs from when that began."""
+        old = self._state.get(number)
+        if old is None or old is state:
+            return
+        del self._since[old][number]
+        self._state[number] = state
+        self._since[state][number] = now
+
+    def served(self, number: int, now: int) -> None:
+        """An idle connection had a request that was answered at once: its time runs anew."""
+        if self._state.get(number) is State.IDLE:
+            self._since[State.IDLE][number] = now
+            self._since[State.IDLE].move_to_end(number)
+
+    def left(self, number: int) -> None:
+        """A connection is gone."""
+        state = self._state.pop(number, None)
+        if state is not None:
+            del self._since[state][number]
+
+    def overdue(self, now: int) -> list[tuple[int, State]]:
+        """Connections whose time is up, and what they were about."""
+        found: list[tuple[int, State]] = []
+        for state, most in (
+            (State.NEW, self.limits.words),
+            (State.PARTIAL, self.limits.words),
+            (State.STUCK, self.limits.stuck),
+            (State.IDLE, self.limits.idle),
+        ):
+            for number, since in self._since[state].items():
+                if now - since < most:
+                    break
+                found.append((number, state))
+        return found
+
+    def closable(self) -> list[int]:
+        """Connections without an open request: a gateway that stops may close them."""
+        return [number for number, state in self._state.items() if state is not State.BUSY]
--- /dev/null
+++ b/yardbank/platform/backend.py
@@ -0,0 +1,168 @@
+"""The gateway's side towards the platform's database servers: thin Twisted around ``ServerSession``."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.python.failure import Failure
+
+from yardbank.gateway.api import Connection, Position, Receiver, Reply, ServerSpec
+from yardbank.platform.server import PROBE, ServerSession
+from yardbank.platform.statement import Statement
+
+
+@dataclass(slots=True, frozen=True)
+class Operation:
+    """A statement and the instant (ns, the gateway's clock) until which its answer is of use."""
+
+    statement: Statement
+    expires: int
+
+
+class ServerConnection(Protocol):
+    """One connection; a ``gateway.api.Connection``. Reports its end through ``lost``, once, whoever ends it."""
+
+    transport: Any  # Twisted's stubs name no methods of a TCP transport
+
+    def __init__(
+        self, now: Callable[[], int], ready: Callable[[Connection], None], lost: Callable[[str], None]
+    ) -> None:
+        self._now, self._ready, self._lost = now, ready, lost
+        self._session = ServerSession()
+        self._receiver: Receiver | None = None
+        self._probed: Callable[[Position | None], None] | None = None
+        self._over = False
+
+    def connectionMade(self) -> None:
+        """Say who we are."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.write(self._session.take_output())
+
+    def dataReceived(self, data: bytes) -> None:
+        """Answers, in any split."""
+        if self._over:
+            return
+        session, was_open = self._session, self._session.open
+        reply = session.receive(data)
+        if session.open and not was_open and not session.broken:
+            self._ready(self)
+        if reply is not None:
+            self._answered(reply)
+        if session.broken and not self._over:
+            self._end(session.broken)
+
+    def _answered(self, reply: Reply) -> None:
+        receiver, self._receiver = self._receiver, None
+        probed, self._probed = self._probed, None
+        if receiver is not None:
+            receiver.attempt_done(reply)
+        elif probed is not None:
+            probed((reply.report or Position({})) if reply.status == "ok" else None)
+
+    def _end(self, reason: str) -> None:
+        """Cut it: nothing that still comes may be taken for an answer."""
+        if self._over:
+            return
+        self._over = True
+        if (reply := self._session.ended()) is not None:
+            self._answered(reply)
+        receiver, self._receiver = self._receiver, None
+        probed, self._probed = self._probed, None
+        self._lost(reason)
+        if receiver is not None:
+            receiver.attempt_lost(reason)
+        if probed is not None:
+            probed(None)
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+        """What is out is lost with it."""
+        self._end(reason.getErrorMessage())
+
+    # gateway.api.Connection
+
+    def submit(self, operation: Operation, receiver: Receiver) -> int:
+        """Send one statement."""
+        statement = operation.statement
+        self.transport.write(self._session.ask(statement.text(operation.expires - self._now()), statement.write))
+        self._receiver = receiver
+        return 0
+
+    def abandon(self, number: int) -> None:
+        """Stop waiting: the connection goes with it, which is how the server learns of it."""
+        self._receiver = None
+        self._end("called off")
+
+    def probe(self, done: Callable[[Position | None], None]) -> int:
+        """Ask for the load report."""
+        self.transport.write(self._session.ask(PROBE, probe=True))
+        self._probed = done
+        return 0
+
+    def fit(self) -> bool:
+        """Whether it is idle and silent: the server may have closed it, or sent more than it was asked for."""
+        if self._over or self._session.busy or self._session.broken:
+            return False
+        try:
+            self.transport.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return True
+        except (OSError, AttributeError):
+            return False
+        return False  # an end or unasked octets: both make it useless
+
+    def close(self) -> None:
+        """Close it; nothing is out."""
+        self._end("closed")
+
+
+class _Connector(ClientFactory):
+    noisy = False
+
+    def __init__(self, make: Callable[[], ServerConnection], lost: Callable[[str], None]) -> None:
+        self._make, self._lost = make, lost
+
+    def buildProtocol(self, addr: Any) -> ServerConnection:
+        return self._make()
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        self._lost(reason.getErrorMessage())
+
+
+class PlatformBackend:
+    """Reaches the platform's servers; a ``gateway.api.Backend``."""
+
+    def __init__(self, reactor: Any, now: Callable[[], int]) -> None:
+        self._reactor, self._now = reactor, now
+
+    def connect(
+        self, server: ServerSpec, ready: Callable[[Connection], None], lost: Callable[[str], None]
+    ) -> Callable[[], None]:
+        """Open a connection; see ``gateway.api.Backend``."""
+        over = False
+
+        def lost_once(reason: str) -> None:
+            nonlocal over
+            if not over:
+                over = True
+                lost(reason)
+
+        factory = _Connector(lambda: ServerConnection(self._now, ready, lost_once), lost_once)
+        connector = self._reactor.connectTCP(server.host, server.port, factory, timeout=30)
+
+        def give_up() -> None:
+            if connector.state == "connected":
+                connector.transport.abortConnection()
+            else:
+                connector.disconnect()
+
+        return give_up
+
+    def describe(self, operation: Operation) -> str:
+        """The class and what it is about."""
+        return f"{operation.statement.kind.name} {operation.statement.key}"
--- /dev/null
+++ b/yardbank/platform/server.py
@@ -0,0 +1,183 @@
+"""One connection to a database server of the platform as a state machine without I/O: one statement at a time.
+
+An answer is passed on only when it is whole and of the one form that it can have. Whatever else comes, or comes when
+nothing was asked, makes the connection useless: what follows could be taken for the next request's answer.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass, field
+from decimal import Decimal, InvalidOperation
+
+from yardbank.gateway.api import MS, Position, Reply
+from yardbank.interface import Role
+from yardbank.pg import messages as pg
+from yardbank.pg.state import Answer, Broken, ClientEnd, Idle, Opened
+from yardbank.pg.wire import Frame, Reader, WireError
+
+MAX_MESSAGE = 96 << 10  # a value of 64 KiB and what stands around it
+MAX_STATUS = 64  # parameters told along with one answer
+MISSES = frozenset(("25006", "72000"))
+FULL = "53300"
+ROLES = {"master": Role.PRIMARY, "replica": Role.REPLICA}
+PROBE = "SHOW gauges"
+ORIGIN = "clock"
+_MILLIS = re.compile(r"[0-9]{1,16}(?:\.[0-9]{1,9})?\Z", re.ASCII)
+
+
+@dataclass(slots=True)
+class _Asked:
+    """What is out, and what has come of its answer."""
+
+    tag: bytes  # of the CommandComplete that is due
+    probe: bool
+    frames: list[Frame] = field(default_factory=list)
+    told: dict[str, str] = field(default_factory=dict)
+    fault: pg.Fault | None = None
+
+
+class ServerSession:
+    """What one connection is about. Output is taken by ``take_output``; ``receive`` brings at most one reply."""
+
+    def __init__(self) -> None:
+        self._end = ClientEnd("backend", "store", "", "", MAX_MESSAGE)
+        self._asked: _Asked | None = None
+        self.open = False
+        self.broken = ""  # why it is of no further use
+
+    @property
+    def busy(self) -> bool:
+        """Whether a statement is out."""
+        return self._asked is not None
+
+    def take_output(self) -> bytes:
+        """What is to be written now."""
+        return self._end.take_output()
+
+    def ask(self, text: str, write: bool = False, probe: bool = False) -> bytes:
+        """Send one statement: the octets to be written. Raises ``ValueError`` if one is out."""
+        if self._asked is not None or not self.open or self.broken:
+            raise ValueError("the connection takes nothing now")
+        self._asked = _Asked(b"INSERT 0 1" if write else b"SHOW" if probe else b"SELECT 1", probe)
+        return pg.encode_client(pg.Query(text)).encode()
+
+    def receive(self, data: bytes) -> Reply | None:
+        """Take octets in any split; the reply that they complete. Afterwards ``broken`` says if this was the last."""
+        reply: Reply | None = None
+        try:
+            for event in self._end.receive(data):
+                if isinstance(event, Opened):
+                    self.open = True
+                elif isinstance(event, Broken):
+                    self.broken = self.broken or event.reason
+                    break
+                elif self._asked is None:
+                    raise WireError("more than was asked for")
+                elif isinstance(event, Idle):
+                    reply = self._whole(self._asked)
+                    self._asked = None
+                elif isinstance(event, Answer):
+                    self._frame(event.frame, self._asked)
+        except WireError as problem:
+            self.broken = self.broken or str(problem)
+        if reply is not None and self._end.waiting:
+            self.broken = self.broken or "more than was asked for"
+        return reply
+
+    def ended(self) -> Reply | None:
+        """The connection is gone: an error that had come whole is an answer all the same."""
+        asked, self._asked = self._asked, None
+        if asked is None or asked.fault is None or self.broken:
+            return None
+        return self._reply(asked)
+
+    def _frame(self, frame: Frame, asked: _Asked) -> None:
+        """One message of an answer, in the only order there is."""
+        kind, due = chr(frame.type), "TDC"[len(asked.frames) : len(asked.frames) + 1]
+        if kind == "S":
+            name, held = pg.read_parameter(frame)
+            asked.told[name] = held
+            if len(asked.told) > MAX_STATUS:
+                raise WireError(f"more than {MAX_STATUS} parameters")
+        elif kind == "N":
+            pg.read_fault(frame)
+        elif asked.fault is not None:
+            raise WireError(f"message {kind!r} after an error")
+        elif kind == "E":
+            asked.fault = pg.read_fault(frame)
+        elif kind != due:
+            raise WireError(f"message {kind!r} where {due or 'the end'!r} is due")
+        else:
+            if kind == "T":
+                _check_description(frame)
+            elif kind == "D":
+                if len(pg.read_row(frame)) != 1:
+                    raise WireError("DataRow: not one column")
+            elif frame.body != asked.tag + b"\0" and not asked.probe:
+                raise WireError(f"CommandComplete {frame.body[:20]!r}")
+            asked.frames.append(frame)
+
+    def _whole(self, asked: _Asked) -> Reply:
+        if asked.fault is None and len(asked.frames) < 3:
+            raise WireError("an answer without its row")
+        return self._reply(asked)
+
+    def _reply(self, asked: _Asked) -> Reply:
+        role = ROLES.get(asked.told.get("part", ""), Role.UNKNOWN)
+        commit = report = None
+        if (at := _nanoseconds(asked.told.get("caught_up_to", ""), MS)) is not None:
+            commit = ORIGIN, (at,)
+        if "gauges" in asked.told:
+            report = read_gauges(asked.told["gauges"])
+        if asked.fault is not None:
+            state = asked.fault.state
+            status = "miss" if state in MISSES else "full" if state == FULL else "error"
+            told = dict(asked.fault.fields).get("M", "")
+            return Reply(status, None, role, commit, f"{state} {told}"[:200], report)
+        if asked.probe:
+            (column,) = pg.read_row(asked.frames[1])
+            report = read_gauges((column or b"").decode("ascii", "replace"))
+            return Reply("ok", None, role, None, "", report)
+        return Reply("ok", b"".join(frame.encode() for frame in asked.frames), role, commit, "", report)
+
+
+def _check_description(frame: Frame) -> None:
+    reader = Reader(frame.body)
+    if reader.count("columns", 19) != 1:
+        raise WireError("RowDescription: not one column")
+    reader.text("column")
+    reader.take(18, "column")
+    reader.end("RowDescription")
+
+
+def _nanoseconds(text: str, unit: int) -> int | None:
+    """A number in units of ``unit`` ns, exactly; None if it is none."""
+    if not _MILLIS.match(text):
+        return None
+    try:
+        return int(Decimal(text) * unit)
+    except InvalidOperation:
+        return None
+
+
+def read_gauges(text: str) -> Position | None:
+    """A load report, ``name=number`` with commas between; None if it cannot be read.
+
+    Of its fields the decision module uses the position (``x0``, in seconds) and the role (``x1``, 1 for a primary).
+    """
+    held: dict[str, str] = {}
+    for part in text.split(","):
+        name, equals, value = part.strip().partition("=")
+        if not equals or not name or name in held:
+            return None
+        try:
+            float(value)
+        except ValueError:
+            return None
+        held[name] = value
+    at = _nanoseconds(held["x0"], 1000 * MS) if "x0" in held else None
+    if "x0" in held and at is None:
+        return None
+    primary = float(held["x1"]) == 1 if "x1" in held else None
+    return Position({} if at is None else {ORIGIN: (at,)}, primary)
--- /dev/null
+++ b/yardbank/platform/service.py
@@ -0,0 +1,158 @@
+"""The program on the platform: puts the parts together, minds signals, decides nothing."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import os
+import signal
+import sys
+import time
+from collections.abc import Mapping
+from typing import Any
+
+import structlog
+
+from yardbank.gateway.api import MS, SECOND, Limits
+from yardbank.gateway.gateway import Gateway
+from yardbank.gateway.positions import ClockPositions
+from yardbank.platform.admission import Admission, AdmissionLimits, State, share_descriptors
+from yardbank.platform.backend import PlatformBackend
+from yardbank.platform.config import PlatformConfig, PlatformError, load_config, specs
+from yardbank.platform.front import ClientFactory
+from yardbank.platform.listing import Listing
+from yardbank.platform.watch import Watcher
+
+LINGER = 600 * MS  # after SIGTERM clients still come for a moment: they are served as ever
+VIEW_EVERY = 5 * SECOND
+
+
+def wall_seconds() -> Any:
+    """The clock that every machine of the platform reads, in seconds since 1970, which never steps."""
+    offset = time.time() - time.monotonic()
+    return lambda: time.monotonic() + offset
+
+
+class Service:
+    """One gateway on the platform."""
+
+    def __init__(self, config: PlatformConfig, reactor: Any, log: Any) -> None:
+        self.config, self._reactor, self.log = config, reactor, log
+        clients, servers = share_descriptors(config.sockets)
+        settings = config.settings
+        limits = Limits(
+            max_open=clients,
+            connections=servers,
+            all_connections=servers,
+            multiplex=1,
+            connect_timeout=settings.connect_timeout,
+            probe_timeout=settings.connect_timeout,
+            idle_close=config.idle_close * 3 // 4,
+            stop_grace=max(kind.deadline for kind in settings.classes),
+        )
+        seconds = wall_seconds()
+        backend = PlatformBackend(reactor, lambda: self.gateway.now())
+        self.gateway = Gateway(
+            settings, backend, reactor=reactor, limits=limits, seconds=seconds, log=log, positions=ClockPositions()
+        )
+        self.admission = Admission(AdmissionLimits(clients))
+        self.factory = ClientFactory(self.gateway, self.admission, {kind.name: kind for kind in settings.classes}, log)
+        self.watcher = Watcher(config.discovery, config.known.generation, self._listed, reactor, log)
+        self._port: Any = None
+
+    def start(self) -> None:
+        """Take the list that is known, listen, watch discovery."""
+        self.gateway.apply_list(specs(self.config.known), self.config.known.generation)
+        listen = self.config.listen
+        self._port = self._reactor.listenTCP(listen.port, self.factory, backlog=1024, interface=listen.host)
+        self.watcher.start()
+        self._view()
+        self.log.info("listening", address=listen.host, port=listen.port, gateway=self.config.name)
+
+    def _listed(self, listing: Listing) -> None:
+        if listing.reset:
+            self.gateway.apply_list(specs(listing), listing.generation)
+        else:
+            self.gateway.apply_changes(listing.entries, listing.generation)
+
+    def _view(self) -> None:
+        """What the gateway makes of things, for comparison with what crosses the sockets."""
+        clients = {state.name.lower(): count for state in State if (count := self.admission.count(state))}
+        self.log.info("view", **self.gateway.view(), clients=clients, **self.factory.counts)
+        self.gateway.call_at(self.gateway.now() + VIEW_EVERY, self._view)
+
+    def reload(self, environment: Mapping[str, str]) -> None:
+        """Take a new configuration: discovery's address changes in service, the rest with a restart."""
+        try:
+            config = load_config(environment)
+        except PlatformError as problem:
+            self.log.error("reload_rejected", problem=str(problem))
+            return
+        for name in ("listen", "settings", "sockets"):
+            before, after = getattr(self.config, name), getattr(config, name)
+            if name == "settings":  # the seed is new with each file
+                before, after = (before.classes, before.zone), (after.classes, after.zone)
+            if before != after:
+                self.log.warning("reload_partial", field=name, note="cannot change in service; restart to apply it")
+        self.watcher.move(config.discovery)
+        self.log.info("reloaded", discovery=f"{config.discovery.host}:{config.discovery.port}")
+
+    def stop(self) -> None:
+        """Serve on for a moment, as clients still come; then take nothing new and answer what was taken."""
+        if not self.factory.stopping and self._port is not None:
+            self.log.info("stop_asked", owed=self.gateway.owed)
+            port, self._port = self._port, None
+            self._reactor.callLater(LINGER / 1e9, self._drain, port)
+
+    def _drain(self, port: Any) -> None:
+        port.stopListening()
+        self.factory.close_idle()
+        self.gateway.stop().addCallback(lambda _: self._stopped())
+
+    def _stopped(self) -> None:
+        self.watcher.stop()
+        self.factory.close_all()
+        self._reactor.callLater(0.05, self._reactor.stop)  # last words still have to be written
+
+
+def _log() -> Any:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.JSONRenderer(default=str),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
+        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+    return structlog.get_logger()
+
+
+def main() -> int:
+    """Serve until told to stop; the exit code."""
+    log = _log()
+    try:
+        config = load_config(os.environ)
+    except PlatformError as problem:
+        print(f"yardbank: {problem}", file=sys.stderr)
+        return 2
+    from twisted.internet import reactor as installed
+
+    reactor: Any = installed
+    reactor.seconds = time.monotonic  # timers must not move when the wall clock is set
+    service = Service(config, reactor, log)
+    signal.signal(signal.SIGTERM, lambda number, frame: reactor.callFromThread(service.stop))
+    signal.signal(signal.SIGINT, lambda number, frame: reactor.callFromThread(service.stop))
+    signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(service.reload, os.environ))
+    try:
+        service.start()
+    except OSError as problem:  # the address cannot be listened on
+        print(f"yardbank: NODE_LISTEN: {problem}", file=sys.stderr)
+        return 2
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)  # requests are short-lived: a sweep at each 700 objects costs a tenth
+    reactor.run(installSignalHandlers=False)
+    return 0
--- /dev/null
+++ b/yardbank/platform/statement.py
@@ -0,0 +1,103 @@
+"""The platform's statements: one strict form each for reads and writes, with what is asked in a comment. No I/O.
+
+A database server closes on what it cannot read, whatever else waits there, so nothing passes that is not of this form.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from yardbank.gateway.api import MS
+from yardbank.interface import RequestClass
+
+MAX_VALUE = 64 << 10  # octets
+MAX_DEADLINE_MS = 86_400_000
+_STATEMENT = re.compile(
+    r"/\*[ ]?([A-Za-z0-9_]{1,32}=[^\s,*/='\\\x00]{1,128}(?:,[A-Za-z0-9_]{1,32}=[^\s,*/='\\\x00]{1,128}){0,15})[ ]?\*/ "
+    r"(?:SELECT content FROM kv WHERE name = '([^'\\\x00]{1,256})'"
+    r"|INSERT INTO kv \(name, content\) VALUES \('([^'\\\x00]{1,256})', '\\x((?:[0-9A-Fa-f]{2})*)'\) RETURNING content)"
+    r"\Z"
+)
+_NUMBER = re.compile(r"[0-9]{1,18}\Z", re.ASCII)
+
+
+class StatementError(ValueError):
+    """A statement that is not of the form; the text names what is wrong."""
+
+
+@dataclass(slots=True, frozen=True)
+class Statement:
+    """One request as a client sent it."""
+
+    id: str
+    kind: RequestClass
+    group: str
+    key: str
+    time_limit: int  # ns
+    after: int | None  # the session's last commit: ns since 1970
+    write: bool
+    before: str  # the text before the time limit's number
+    behind: str  # and after it
+
+    def text(self, left: int) -> str:
+        """The statement as it is passed on: the time limit says how long (ns) the gateway will wait."""
+        return f"{self.before}{max(1, left // MS)}{self.behind}"
+
+
+def _number(facts: Mapping[str, str], name: str) -> int:
+    held = facts.get(name)
+    if held is None:
+        raise StatementError(f"the comment lacks {name}")
+    if not _NUMBER.match(held):
+        raise StatementError(f"{name}: not a number")
+    return int(held)
+
+
+def read_statement(text: str, kinds: Mapping[str, RequestClass]) -> Statement:
+    """A client's query. Raises ``StatementError``."""
+    found = _STATEMENT.match(text)
+    if found is None:
+        raise StatementError("not a statement of the form that is served here")
+    facts: dict[str, str] = {}
+    comment, at, where = found[1], found.start(1), (0, 0)
+    for part in comment.split(","):
+        name, _, held = part.partition("=")
+        if name in facts:
+            raise StatementError(f"the comment names {name} twice")
+        facts[name] = held
+        if name == "d":
+            where = at + 2, at + len(part)
+        at += len(part) + 1
+    if not (number := facts.get("id")):
+        raise StatementError("the comment lacks id")
+    kind = kinds.get(facts.get("c", ""))
+    if kind is None:
+        raise StatementError("c: no such class")
+    limit = _number(facts, "d")
+    if not 0 < limit <= MAX_DEADLINE_MS:
+        raise StatementError(f"d: between 1 and {MAX_DEADLINE_MS} is allowed")
+    write = found[2] is None
+    if write != (kind.read == "write"):
+        raise StatementError(f"c: the class is not one of {'writes' if write else 'reads'}")
+    if write and len(found[4]) > 2 * MAX_VALUE:
+        raise StatementError(f"content: more than {MAX_VALUE} octets")
+    return Statement(
+        id=number,
+        kind=kind,
+        group=str(_number(facts, "cluster")),
+        key=found[3] if write else found[2],
+        time_limit=limit * MS,
+        after=_number(facts, "after") * MS if "after" in facts else None,
+        write=write,
+        before=text[: where[0]],
+        behind=text[where[1] :],
+    )
+
+
+def since_write(statement: Statement, now: int) -> int | None:
+    """The age (ns) of a session's last commit, as the decision module takes it: 0 would mean that there is none."""
+    if statement.after is None:
+        return None
+    return (now - statement.after) or 1
