The platform's parts under test; a client that leaves takes its request's id along

Writing the tests showed that the id of a request whose client left stayed in the front's set of open ids for good: front.py, connectionLost cleared only the gateway's side. It would grow with every client that leaves, and turn a later request of that id away.

--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -55,6 +55,7 @@
         self.factory, self.number = factory, number
         self._session = ClientSession()
         self._taken: str | None = None  # the gateway's number of the request that is being answered
+        self._open_id = ""  # the client's own number of it
         self._advancing = self._stuck = self._paused = self._closing = False
 
     def connectionMade(self) -> None:
@@ -77,6 +78,7 @@
         self._closing = True
         self.factory.left(self)
         if self._taken is not None:
+            self.factory.open_ids.discard(self._open_id)
             self.factory.gateway.leave(self._taken)
 
     def answer(self, number: str, octets: bytes) -> None:
@@ -149,6 +151,7 @@
             self.close(client.rejected(str(problem)))
             return
         factory.open_ids.add(statement.id)
+        self._open_id = statement.id
         now = gateway.now()
         kind = statement.kind
         call = Call(
