Answers of several hundred KiB are read; attempts given up are no longer told as resets

Counted how attempts end (new 'ends' in the view): hundreds of 'reset: message length 131798..390060: between 4 and 98308 is allowed', eight of each, and hundreds of 'reset: called off'. Ruled out: idle closing by servers (0 in the report), descriptors (202 of 1,024), CPU (0.44 s in the worst second).

Cause: server.py MAX_MESSAGE held answers to the stated 64 KiB, but larger ones are served on the platform, so each was cut and tried until attempts ran out; and ServerConnection.abandon reported the connection's end before the attempt's, so the module heard 'reset' for every time-out and cancellation and doubted servers that were well.

Change: 1 MiB for a server's message; abandon only marks the connection as spent, the place's return closes it.

--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -8,6 +8,7 @@
 
 import logging
 import random
+import re
 import time
 from collections import Counter, deque
 from collections.abc import Callable, Mapping, Sequence
@@ -26,6 +27,8 @@
 from yardbank.policy import Router
 from yardbank.timeline import Mark
 
+_DIGITS = re.compile("[0-9]+")
+MAX_ENDS = 64  # ways to come to nothing that are told apart in the log
 Record = Callable[[dict[str, Any]], None]
 
 
@@ -103,6 +106,7 @@
         self._owed = 0
         self._full_logged_at = 0
         self._idle_timer: int | None = None
+        self._ends: Counter[str] = Counter()  # of attempts that came to nothing, by how
         self.counts: dict[str, int] = dict.fromkeys(("served", "refused", "failed", "left"), 0)
         self._trigger: Any = None
         if hasattr(reactor, "addSystemEventTrigger"):  # a bare clock has no shutdown
@@ -328,6 +332,7 @@
             "owed": self._owed,
             "held": sum(map(len, router.waiting.values())),
             "counts": self.counts,
+            "ends": dict(self._ends),
             "servers": servers,
         }
 
@@ -526,6 +531,10 @@
                 report = self._positions.report(server, reply.report, attempt.sent_at)
         if status not in NEVER_RAN:
             request.may_have_run = True
+        if status != "ok":
+            end = _DIGITS.sub("#", f"{status}: {reason}"[:80])
+            if end in self._ends or len(self._ends) < MAX_ENDS:
+                self._ends[end] += 1
         if self._record:
             self._note("attempt_end", id=request.id, attempt=number, server=name, status=status)
         if self._explains:
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -36,7 +36,7 @@
         self._session = ServerSession()
         self._receiver: Receiver | None = None
         self._probed: Callable[[Position | None], None] | None = None
-        self._over = False
+        self._over = self._spent = False
 
     def connectionMade(self) -> None:
         """Say who we are."""
@@ -45,7 +45,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Answers, in any split."""
-        if self._over:
+        if self._over or self._spent:
             return
         session, was_open = self._session, self._session.open
         reply = session.receive(data)
@@ -94,9 +94,12 @@
         return 0
 
     def abandon(self, number: int) -> None:
-        """Stop waiting: the connection goes with it, which is how the server learns of it."""
+        """Stop waiting: the connection is spent, and is closed when its place is given back.
+
+        That is how the server learns of it. The end is not reported from here: the attempt was given up, not lost.
+        """
         self._receiver = None
-        self._end("called off")
+        self._spent = True
 
     def probe(self, done: Callable[[Position | None], None]) -> int:
         """Ask for the load report."""
@@ -106,7 +109,7 @@
 
     def fit(self) -> bool:
         """Whether it is idle and silent: the server may have closed it, or sent more than it was asked for."""
-        if self._over or self._session.busy or self._session.broken:
+        if self._over or self._spent or self._session.busy or self._session.broken:
             return False
         try:
             self.transport.socket.recv(1, socket.MSG_PEEK)
--- a/yardbank/platform/server.py
+++ b/yardbank/platform/server.py
@@ -16,7 +16,7 @@
 from yardbank.pg.state import Answer, Broken, ClientEnd, Idle, Opened
 from yardbank.pg.wire import Frame, Reader, WireError
 
-MAX_MESSAGE = 96 << 10  # a value of 64 KiB and what stands around it
+MAX_MESSAGE = 1 << 20  # answers of several hundred KiB were seen; what is said to be longer is taken for spoilt
 MAX_STATUS = 64  # parameters told along with one answer
 MISSES = frozenset(("25006", "72000"))
 FULL = "53300"
