Descriptors shared as needed, spoilt answers are errors, lost attempts and late refusals end early

Ruled out: CPU (0.38 s in the worst second), memory, idle closing by servers.

Change: clients and servers share what is free (admission.Descriptors), a newcomer without room is refused with 53300 and told when to come back; a spoilt answer is an error of a server that is there; the module calls off a read that a calm server has passed over for five usual times, counts no such time-out as strain, and gives an unsent request up at half its time.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -602,3 +602,69 @@
     assert drawn == []
     with pytest.raises(ValueError, match="share must be positive"):
         Member(1, "a", 0, True, "ready", share=0)
+
+
+def passed_over(kind="status", count=3):
+    """A world in which one request waits at a server that has answered later ones; the server, and its name."""
+    world = World(group(replicas=1))
+    world.known(1, primary=True)
+    world.ask("lost", kind, left=SECOND)
+    server = world.of(Send)[0].server
+    for number in range(count):
+        world.router.servers[3 - server].rest_until = world.now + SECOND  # all go to the one
+        world.ask(f"r{number}", kind)
+        assert world.of(Send)[0].server == server
+        world.end(f"r{number}", server)
+    world.router.servers[3 - server].rest_until = 0
+    return world, server
+
+
+def test_a_read_that_a_calm_server_has_passed_over_goes_elsewhere():
+    world, server = passed_over()
+    strain = world.router.servers[server].strain
+    world.tick(200 * MS)
+    assert not world.of(Cancel)
+    world.tick(300 * MS)
+    assert [(action.id, action.attempt) for action in world.of(Cancel)] == [("lost", 0)]
+    world.tick(20 * MS)
+    assert not world.of(Cancel)  # once is enough
+    world.end("lost", server, "cancelled", after=0, closed=False)
+    assert [action.server for action in world.of(Send)] == [3 - server]
+    assert world.router.servers[server].strain == strain and not world.router.servers[server].silent
+
+
+def test_a_write_that_is_passed_over_stays_out_and_its_timeout_is_no_slow_server():
+    world, server = passed_over("commit", 1)
+    before = world.router.servers[server].strain, list(world.router.tally)
+    world.tick(700 * MS)
+    assert not world.of(Cancel)
+    world.end("lost", server, "timeout", after=200 * MS, closed=False)
+    assert world.of(Fail) and world.router.servers[server].strain == before[0]
+    assert world.router.tally == before[1]
+
+
+def test_a_read_at_a_strained_server_is_not_taken_for_lost():
+    world, server = passed_over()
+    world.router.servers[server].strain = 0.5
+    world.tick(500 * MS)
+    assert not world.of(Cancel)
+
+
+def test_a_request_that_was_never_sent_is_given_up_at_half_its_time():
+    world = World(group(replicas=0))
+    world.router.servers[1].rest_until = world.now + 10 * SECOND
+    world.ask("held", "commit", left=1000 * MS)
+    assert not world.of(Refuse)
+    world.tick(400 * MS)
+    assert not world.of(Refuse)
+    world.tick(90 * MS)
+    assert [action.id for action in world.of(Refuse)] == ["held"] and not world.router.requests
+
+
+def test_a_request_that_was_sent_is_held_for_longer():
+    world = World(group(replicas=0))
+    world.ask("again", "commit", left=1000 * MS)
+    world.end("again", 1, "full", closed=False)
+    world.router.servers[1].rest_until = world.now + 10 * SECOND
+    world.tick(500 * MS)
+    assert "again" in world.router.requests and not world.of(Refuse)
--- a/yardbank/gateway/api.py
+++ b/yardbank/gateway/api.py
@@ -33,7 +33,6 @@
 
     max_open: int = 10_000  # requests taken and not yet answered
     connections: int = 8  # to one server
-    all_connections: int = 100_000  # to all servers together; at the bound an idle one gives way to a new one
     multiplex: int = 64  # attempts outstanding on one connection
     connect_timeout: int = 250 * MS
     probe_timeout: int = 250 * MS
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -58,7 +58,8 @@
 
     ``settings`` are the decision module's own; ``backend`` reaches the servers; ``record`` is told of every
     request, attempt and answer, as plain dictionaries. ``router`` makes the decision module's instance;
-    ``positions`` says what servers' marks mean.
+    ``positions`` says what servers' marks mean; ``connections_bound`` how many connections all servers together may
+    have now: at the bound the idlest gives way to a new one.
     """
 
     def __init__(
@@ -75,7 +76,9 @@
         log_answers: bool = False,
         router: Callable[[api.Settings], Router] = Router,
         positions: Positions | None = None,
+        connections_bound: Callable[[], int] | None = None,
     ) -> None:
+        self._connections_bound = connections_bound
         self.settings, self.limits = settings, limits or Limits()
         self.log = (log or structlog.get_logger()).bind()  # bound once: a lazy logger is made anew at each line
         enabled = getattr(self.log, "is_enabled_for", None)
@@ -303,6 +306,11 @@
             self._reactor.removeSystemEventTrigger(self._trigger)
             self._trigger = None
 
+    @property
+    def server_connections(self) -> int:
+        """Connections to servers, open or opening."""
+        return sum(way.connections for way in (*self._ways.values(), *self._retired))
+
     def connections(self) -> dict[str, int]:
         """Open connections by server name."""
         return {name: self._ways[number].connections for name, number in self._servers.items() if number in self._ways}
@@ -333,6 +341,7 @@
             "held": sum(map(len, router.waiting.values())),
             "counts": self.counts,
             "ends": dict(self._ends),
+            "wanted_and_good": [round(each, 1) for each in router.tally],  # lately: what admission goes by
             "servers": servers,
         }
 
@@ -678,9 +687,9 @@
 
     def _has_room(self) -> bool:
         """Whether one connection more may be opened; at the bound the idlest of all gives way to it."""
-        ways = (*self._ways.values(), *self._retired)
-        if sum(way.connections for way in ways) < self.limits.all_connections:
+        if self._connections_bound is None or self.server_connections < self._connections_bound():
             return True
+        ways = (*self._ways.values(), *self._retired)
         idle = [(used_at, number) for number, way in enumerate(ways) if (used_at := way.idle_since()) is not None]
         if not idle:
             return False
--- a/yardbank/platform/admission.py
+++ b/yardbank/platform/admission.py
@@ -28,7 +28,6 @@
 class AdmissionLimits:
     """Bounds of one gateway's client connections."""
 
-    connections: int
     words: int = 2 * SECOND  # NEW or PARTIAL for no longer
     stuck: int = 3 * SECOND
     idle: int = 10 * SECOND
@@ -41,14 +40,30 @@
                 raise ValueError(f"admission.{name} must be positive")
 
 
-def share_descriptors(sockets: int) -> tuple[int, int]:
-    """How many descriptors clients and servers get; the rest is the process's own, discovery's and of a moment.
+@dataclass(slots=True, frozen=True)
+class Descriptors:
+    """How clients and servers share the descriptors of one process; together they never hold more than ``both``.
 
-    Clients with requests hold at most a third of all. Each open request holds about one server connection too.
+    Clients with requests hold at most a third of all, and each open request about one server connection; the rest is
+    taken by whoever needs it. The process's own, discovery's and those of a moment are set aside.
     """
-    own = min(32, sockets // 8)
-    servers = (sockets - own) * 2 // 5
-    return sockets - own - servers, servers
+
+    both: int
+    servers_least: int
+
+    @classmethod
+    def of(cls, sockets: int) -> Descriptors:
+        """The shares of a process that may hold so many."""
+        both = sockets - min(32, sockets // 8)
+        return cls(both, both // 4)
+
+    def for_clients(self, servers: int) -> int:
+        """How many connections clients may hold, while servers hold so many."""
+        return self.both - max(self.servers_least, servers)
+
+    def for_servers(self, clients: int) -> int:
+        """How many connections to servers there may be, while clients hold so many."""
+        return max(self.servers_least, self.both - clients)
 
 
 class Admission:
@@ -66,10 +81,10 @@
         """How many connections are in one state."""
         return len(self._since[state])
 
-    def arrived(self, number: int, now: int) -> int | None:
-        """A client has connected. Which connection has to go for it: None: none; its own number: it is turned away."""
+    def arrived(self, number: int, now: int, most: int) -> int | None:
+        """A client has connected, ``most`` may be. Which one has to go: None: none; its own number: turn it away."""
         way = None
-        if len(self._state) >= self.limits.connections:
+        if len(self._state) >= most:
             way = self._least_needed(now)
             if way is None:
                 return number
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -54,6 +54,9 @@
         if reply is not None:
             self._answered(reply)
         if session.broken and not self._over:
+            self._spent = True
+            if session.busy:  # the server is there and has answered, if with nonsense: it may have run
+                self._answered(Reply("error", reason=f"spoilt answer: {session.broken}"))
             self._end(session.broken)
 
     def _answered(self, reply: Reply) -> None:
--- a/yardbank/platform/client.py
+++ b/yardbank/platform/client.py
@@ -87,10 +87,14 @@
 
 def refused(retry_after_ms: int, reason: str) -> bytes:
     """Trying again is harmless, after so many milliseconds (0: nothing is said)."""
-    fields = [("S", "ERROR"), ("V", "ERROR"), ("C", "53300"), ("M", reason)]
+    return _refusal("ERROR", retry_after_ms, reason) + READY
+
+
+def _refusal(severity: str, retry_after_ms: int, reason: str) -> bytes:
+    fields = [("S", severity), ("V", severity), ("C", "53300"), ("M", reason)]
     if retry_after_ms > 0:
         fields.append(("D", str(retry_after_ms)))
-    return pg.write_fault(pg.Fault(tuple(fields))).encode() + READY
+    return pg.write_fault(pg.Fault(tuple(fields))).encode()
 
 
 def failed(reason: str) -> bytes:
@@ -103,6 +107,11 @@
     return pg.error("42601", reason, severity="FATAL").encode()
 
 
+def full(retry_after_ms: int, reason: str) -> bytes:
+    """The last word to a connection for which there is no room: nothing ran, and trying again is harmless."""
+    return _refusal("FATAL", retry_after_ms, reason)
+
+
 def turned_away(reason: str) -> bytes:
     """The last word to a connection that is let go with nothing of it open."""
     return pg.error("57P05", reason, severity="FATAL").encode()
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -16,11 +16,12 @@
 from yardbank.gateway.gateway import Gateway
 from yardbank.interface import RequestClass
 from yardbank.platform import client
-from yardbank.platform.admission import Admission, State
+from yardbank.platform.admission import Admission, Descriptors, State
 from yardbank.platform.backend import Operation
 from yardbank.platform.client import ClientSession, Refusal
 from yardbank.platform.statement import StatementError, read_statement, since_write
 
+COME_AGAIN = 250 * MS  # told to a connection for which there is no room
 READ_SIZE = 16 << 10  # octets taken from a client at a time
 
 
@@ -187,8 +188,17 @@
 
     noisy = False
 
-    def __init__(self, gateway: Gateway, admission: Admission, kinds: dict[str, RequestClass], log: Any) -> None:
+    def __init__(
+        self,
+        gateway: Gateway,
+        admission: Admission,
+        descriptors: Descriptors,
+        kinds: dict[str, RequestClass],
+        log: Any,
+    ) -> None:
         self.gateway, self.admission, self.kinds, self._log = gateway, admission, kinds, log
+        self._descriptors = descriptors
+        self._come_again = min(gateway.settings.max_retry_after, COME_AGAIN) // MS
         self.open_ids: set[str] = set()
         self.stopping = False
         self.counts = dict.fromkeys(("arrived", "rejected", "turned_away", "timed_out"), 0)
@@ -204,17 +214,18 @@
         """A client has connected."""
         self.counts["arrived"] += 1
         now = self.gateway.now()
-        way = self.admission.arrived(connection.number, now)
+        most = self._descriptors.for_clients(self.gateway.server_connections)
+        way = self.admission.arrived(connection.number, now, most)
         if way is not None:
             self.counts["turned_away"] += 1
             if now - self._logged_at > 1000 * MS:
                 self._logged_at = now
-                self._log.warning("client_connections_bound", bound=self.admission.limits.connections)
+                self._log.warning("client_connections_bound", bound=most)
         if way == connection.number:
-            connection.close(client.turned_away("too many connections"))
+            connection.close(client.full(self._come_again, "too many connections"))
             return
         if way is not None:
-            self._connections[way].close(client.turned_away("too many connections, and this one was not in use"))
+            self._connections[way].close(client.full(self._come_again, "too many connections: this one was not in use"))
         self._connections[connection.number] = connection
         if self._cancel_sweep is None:
             self._arm()
--- a/yardbank/platform/server.py
+++ b/yardbank/platform/server.py
@@ -134,7 +134,7 @@
             state = asked.fault.state
             status = "miss" if state in MISSES else "full" if state == FULL else "error"
             told = dict(asked.fault.fields).get("M", "")
-            return Reply(status, None, role, commit, f"{state} {told}"[:200], report)
+            return Reply(status, None, role, commit, f"{state} {told}"[:60], report)
         if asked.probe:
             (column,) = pg.read_row(asked.frames[1])
             report = read_gauges((column or b"").decode("ascii", "replace"))
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -16,7 +16,7 @@
 from yardbank.gateway.api import MS, SECOND, Limits
 from yardbank.gateway.gateway import Gateway
 from yardbank.gateway.positions import ClockPositions
-from yardbank.platform.admission import Admission, AdmissionLimits, State, share_descriptors
+from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
 from yardbank.platform.backend import PlatformBackend
 from yardbank.platform.config import PlatformConfig, PlatformError, load_config, specs
 from yardbank.platform.front import ClientFactory
@@ -38,12 +38,11 @@
 
     def __init__(self, config: PlatformConfig, reactor: Any, log: Any) -> None:
         self.config, self._reactor, self.log = config, reactor, log
-        clients, servers = share_descriptors(config.sockets)
+        descriptors = Descriptors.of(config.sockets)
         settings = config.settings
         limits = Limits(
-            max_open=clients,
-            connections=servers,
-            all_connections=servers,
+            max_open=descriptors.for_clients(0),
+            connections=descriptors.both,
             multiplex=1,
             connect_timeout=settings.connect_timeout,
             probe_timeout=settings.connect_timeout,
@@ -53,10 +52,19 @@
         seconds = wall_seconds()
         backend = PlatformBackend(reactor, lambda: self.gateway.now())
         self.gateway = Gateway(
-            settings, backend, reactor=reactor, limits=limits, seconds=seconds, log=log, positions=ClockPositions()
+            settings,
+            backend,
+            reactor=reactor,
+            limits=limits,
+            seconds=seconds,
+            log=log,
+            positions=ClockPositions(),
+            connections_bound=lambda: descriptors.for_servers(len(self.admission)),
+        )
+        self.admission = Admission(AdmissionLimits())
+        self.factory = ClientFactory(
+            self.gateway, self.admission, descriptors, {kind.name: kind for kind in settings.classes}, log
         )
-        self.admission = Admission(AdmissionLimits(clients))
-        self.factory = ClientFactory(self.gateway, self.admission, {kind.name: kind for kind in settings.classes}, log)
         self.watcher = Watcher(config.discovery, config.known.generation, self._listed, reactor, log)
         self._port: Any = None
 
@@ -67,7 +75,10 @@
         self._port = self._reactor.listenTCP(listen.port, self.factory, backlog=1024, interface=listen.host)
         self.watcher.start()
         self._view()
-        self.log.info("listening", address=listen.host, port=listen.port, gateway=self.config.name)
+        classes = {kind.name: (kind.aim // MS, kind.deadline // MS) for kind in self.config.settings.classes}
+        self.log.info(
+            "listening", address=listen.host, port=listen.port, gateway=self.config.name, aim_deadline_ms=classes
+        )
 
     def _listed(self, listing: Listing) -> None:
         if listing.reset:
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -22,6 +22,7 @@
 FULL_STRAIN = 0.4  # the mean share of the aim at which a server is full: the tail still makes its aim
 MEMORY, YIELD = 5 * SECOND, 1.5  # at most 1.5 times what came back in time lately is sent: room to grow again
 SILENT_WORK, SILENT_TIME = 8.0, 2.5  # silent: outstanding requests waited so many usual times together; each
+LOST_TIME = 5.0  # lost: it waited so many usual times at a calm server that has answered later ones
 BACKOFF = 250 * MS  # first time away from a server that failed; doubles up to eight times
 ASK_EVERY, ASK_TOGETHER = 100 * MS, MS  # a server is probed no more often, by one gateway and by all together
 IDLE, SCARCE = 30 * SECOND, 5 * SECOND  # a connection may idle so long; none, so long after one was refused
@@ -37,6 +38,7 @@
         self.id, self.zone, self.group = member.server, member.zone, member.group
         self.share = 1.0  # of what equals are sent
         self.position = self.heard = self.lag = self.started = self.probe_at = 0
+        self.passed = 0  # when the latest attempt that it has answered was sent
         self.role_at = {True: -1, False: -1}  # when it was last known to be primary, and not to be
         self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
         self.limit = LIMIT  # how much may be outstanding there; more waits here, where it is ordered
@@ -197,6 +199,27 @@
         server.failures += 1
         server.silent = server.silent or silent
 
+    def alone(self, attempt: Attempt) -> bool:
+        """Whether a calm server has answered what went out later: the connection may be dead by itself."""
+        server = attempt.server
+        return not server.silent and server.strain <= FULL_STRAIN and server.passed > attempt.sent_at
+
+    def cancel(self, key: tuple[str, int], attempt: Attempt) -> None:
+        """Stop waiting for a read that may be sent elsewhere; a write may yet be answered."""
+        safe = attempt.held.kind.effect == "safe" and not attempt.cancelled
+        if safe and self.set.may_cancel and self.may_resend(attempt.held):
+            attempt.cancelled = True
+            self.out.append(api.Cancel(*key))
+
+    def check_lost(self, server: Server) -> None:
+        """A connection can fall silent by itself: reads on it go elsewhere while that may be in time."""
+        for key, attempt in server.waiting.items():
+            kind = attempt.held.kind
+            if self.now - attempt.sent_at < max(LOST_TIME * self.usual[kind.name], kind.aim // 2):
+                break  # the oldest come first
+            if self.alone(attempt) and not self.hopeless(attempt.held):
+                self.cancel(key, attempt)
+
     def check_silence(self, server: Server) -> None:
         """A hung server takes work and answers nothing; only one's own requests out there can tell."""
         oldest = next(iter(server.waiting.values()))
@@ -207,11 +230,8 @@
         if self.now - since < SILENT_TIME * usual or not (server.silent or waited >= SILENT_WORK * usual):
             return
         self.doubt(server, silent=True)
-        for key, attempt in server.waiting.items():  # reads go elsewhere; writes may yet be answered
-            safe = attempt.held.kind.effect == "safe" and not attempt.cancelled
-            if safe and self.set.may_cancel and self.may_resend(attempt.held):
-                attempt.cancelled = True
-                self.out.append(api.Cancel(*key))
+        for key, attempt in server.waiting.items():
+            self.cancel(key, attempt)
 
     def primary(self, group: int) -> Server | None:
         """The server last known to be primary, unless it drains or is doubted."""
@@ -405,15 +425,17 @@
             self.doubt(server, silent=False)
         elif status in ("ok", "miss", "error", "full"):
             server.trust()
-            server.answered_at = self.now
+            server.answered_at, server.passed = self.now, max(server.passed, attempt.sent_at)
         if self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
             self.out.append(api.CloseIdle(server.id))
         if status == "full" or refused:  # to be asked presses it too: hundreds must not do so at once
             server.rest = min(2 * server.rest or kind.aim // 4, SECOND)
             server.rest_until = self.now + int(server.rest * (0.5 + self.random.random()))
-        if status in ("ok", "timeout", "cancelled"):  # no answer yet is a slow one too
+        late = status in ("timeout", "cancelled") and not self.alone(attempt)
+        if status == "ok" or late:  # no answer yet is a slow one too
             self.answered(server, kind, event)
-        if status in ("ok", "full") or (status == "timeout" and event.latency > self.usual[kind.name]):
+        waited = status == "timeout" and late and event.latency > self.usual[kind.name]
+        if status in ("ok", "full") or waited:
             self.count(status == "ok" and event.latency <= kind.aim)
         self.settle(event, attempt)
         self.route_waiting(server.group)
@@ -475,7 +497,10 @@
         self.armed, self.ranking = False, self.order()
         for server in {attempt.server.id: attempt.server for attempt in self.attempts.values()}.values():
             self.check_silence(server)
+            self.check_lost(server)
         for held in [held for waiting in list(self.waiting.values()) for held in waiting.values()]:
-            (self.give_up if self.hopeless(held) else self.hold)(held)
+            half = (held.arrived + held.request.expires) // 2  # told by then, a client can try elsewhere
+            unsent = not held.attempts and self.now + self.sweep_every > half
+            (self.give_up if unsent or self.hopeless(held) else self.hold)(held)
         for group in {group: 0 for (group, _, _), waiting in self.waiting.items() if waiting}:
             self.route_waiting(group)
