A limit of one grows again, and shedding is no longer its own reason to go on

Later, at a new primary, 'P1/1.0 strain 0.14': one outstanding allowed, 80 held, up to 89 writes refused in half a second. Ruled out: CPU (0.35 s in the worst second), descriptors (192 of 384), list and drains (applied at once), the server connections.

Cause: policy.admits counted each refusal of its own as wanted and not good, so that after a stumble the share recovers with an e-fold in ten seconds whatever the servers say; policy.answered lets a limit grow only if half of it is left outstanding after an answer, which a limit under two never has: once at 1.0 it stayed there.

Change: what is shed counts only while servers are strained or turn away; a limit under two may grow on any good answer. The view tells refusals by class and by whether they were shed at once, held or tried.

--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -256,7 +256,7 @@
     world.ask("new", "commit", left=3 * SECOND)
     world.router.servers[1].silent, world.router.servers[1].retry_at = False, 0
     world.end("first", 1, role=Role.PRIMARY, after=MS)
-    assert [action.id for action in world.of(Send)] == ["new"]
+    assert [action.id for action in world.of(Send)] == ["new", "old"]  # in this order; a good answer made room for two
 
 
 def test_late_contradictory_and_empty_facts_are_legal():
@@ -668,3 +668,41 @@
     world.router.servers[1].rest_until = world.now + 10 * SECOND
     world.tick(500 * MS)
     assert "again" in world.router.requests and not world.of(Refuse)
+
+
+def test_a_limit_of_one_grows_again_on_good_answers():
+    world = World(group(replicas=0))
+    world.router.servers[1].limit = 1.0
+    for number in range(20):
+        world.ask(f"w{number}", "commit")
+        assert world.of(Send)
+        world.end(f"w{number}", 1)
+    assert world.router.servers[1].limit > 1.9
+
+
+def test_what_was_shed_is_no_reason_to_go_on_unless_servers_are_pressed():
+    """A stumble is over when it is over: refusals of one's own do not keep the share of what is sent low."""
+    for pressed in (False, True):
+        world = World(group(replicas=4))
+        for number in range(60):  # all late
+            world.ask(f"late{number}", "any")
+            for send in world.of(Send):
+                world.end(send.id, send.server, "ok", after=450 * MS)
+        for server in world.router.servers.values():
+            server.strain = 0.1
+        world.router.zones["a"] = 0.1
+        if pressed:
+            world.ask("full", "commit")
+            world.end("full", 1, "full", closed=False)
+        wanted = world.router.tally[0]
+        for number in range(30):
+            world.ask(f"next{number}", "any", after=0)
+        assert (world.router.tally[0] > wanted) is pressed
+
+
+def test_shedding_before_any_answer_has_come_is_legal():
+    world = World(group(replicas=0))
+    world.router.tally, world.router.tallied_at = [100.0, 0.0], world.now
+    for number in range(20):
+        world.ask(f"r{number}", "any", after=0)
+    assert world.of(Refuse) and not world.router.zones
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -28,6 +28,7 @@
 from yardbank.timeline import Mark
 
 _DIGITS = re.compile("[0-9]+")
+AT_ONCE = 5_000_000  # ns
 MAX_ENDS = 64  # ways to come to nothing that are told apart in the log
 Record = Callable[[dict[str, Any]], None]
 
@@ -109,6 +110,7 @@
         self._owed = 0
         self._full_logged_at = 0
         self._idle_timer: int | None = None
+        self._refused: Counter[str] = Counter()  # by class, and whether at once, held or after attempts
         self._ends: Counter[str] = Counter()  # of attempts that came to nothing, by how
         self.counts: dict[str, int] = dict.fromkeys(("served", "refused", "failed", "left"), 0)
         self._trigger: Any = None
@@ -340,6 +342,7 @@
             "owed": self._owed,
             "held": sum(map(len, router.waiting.values())),
             "counts": self.counts,
+            "refused": dict(self._refused),
             "ends": dict(self._ends),
             "wanted_and_good": [round(each, 1) for each in router.tally],  # lately: what admission goes by
             "servers": servers,
@@ -602,6 +605,10 @@
         request.ended = True
         self._owed -= 1
         self.counts[answer] += 1
+        if answer == "refused":
+            at_once = self._clock.now() - request.taken_at < AT_ONCE
+            sent = "after attempts" if request.attempts else "at once" if at_once else "held"
+            self._refused[f"{request.kind.name} {sent}"] += 1
         if request.stream_timer is not None:
             self._deadlines.cancel(request.stream_timer)
         request.parts.clear()
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -103,6 +103,7 @@
         self.tokens: OrderedDict[str, tuple[int, int]] = OrderedDict()
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
         self.sweep_every = max(2 * settings.period, min(kind.aim for kind in settings.classes) // 10)
+        self.pressed_at = -MEMORY  # when a server last was full or took no connection
         self.scarce_until, self.armed, self.ranking = 0, False, self.order()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -183,7 +184,7 @@
         self.usual[kind.name] += 0.02 * (event.latency - self.usual[kind.name])
         if server.strain > FULL_STRAIN:
             server.limit = max(1.0, 0.95 * server.limit)
-        elif 2 * len(server.waiting) >= server.limit:
+        elif 2 * len(server.waiting) >= server.limit or server.limit < 2:  # one alone leaves none behind
             server.limit += 1 / server.limit
 
     def strain_of(self, server: Server) -> float:
@@ -365,7 +366,9 @@
         better = sum(self.asked[name] for name, late in self.ranking[:rank] if not late)
         first = better + held.lot * self.asked[held.kind.name] <= share * sum(self.asked.values())
         if not (first or held.lot < share / 4):  # a little of each class, else none may be left to try
-            self.count(False)
+            strain = max(self.zones.values(), default=0.0)
+            if strain > FULL_STRAIN or self.now - self.pressed_at < MEMORY:  # else it would feed itself
+                self.count(False)
         return first or held.lot < share / 4
 
     def hopeless(self, held: Held) -> bool:
@@ -429,6 +432,7 @@
         if self.now < self.scarce_until and not server.waiting:  # an idle one keeps another gateway out
             self.out.append(api.CloseIdle(server.id))
         if status == "full" or refused:  # to be asked presses it too: hundreds must not do so at once
+            self.pressed_at = self.now
             server.rest = min(2 * server.rest or kind.aim // 4, SECOND)
             server.rest_until = self.now + int(server.rest * (0.5 + self.random.random()))
         late = status in ("timeout", "cancelled") and not self.alone(attempt)
