--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -466,6 +466,12 @@
     assert session.ended().status == status  # no ReadyForQuery after the last word
 
 
+def test_an_error_of_the_statement_itself_is_the_answer():
+    session, fault = opened(), pg.error("42601", "bad request").encode()
+    reply = session.receive(fault + READY)
+    assert (reply.status, reply.payload) == ("ok", fault) and not session.broken
+
+
 SPOILT = [
     b"\xff" * 40, b"D" + int32(3 << 29) + b"xx", row()[:-12] + b"C\0\0\0\x09ab", row(tag="SELECT 2") + READY,
     row(tag="INSERT 0 1") + READY, row() + row() + READY, DESCRIPTION.encode() + READY, READY,
--- a/yardbank/platform/server.py
+++ b/yardbank/platform/server.py
@@ -20,6 +20,7 @@
 MAX_STATUS = 64  # parameters told along with one answer
 MISSES = frozenset(("25006", "72000"))
 FULL = "53300"
+DEFINITE = frozenset(("22", "23", "42"))  # classes of errors that a statement has by itself: no server says otherwise
 ROLES = {"master": Role.PRIMARY, "replica": Role.REPLICA}
 PROBE = "SHOW gauges"
 ORIGIN = "clock"
@@ -35,6 +36,7 @@
     frames: list[Frame] = field(default_factory=list)
     told: dict[str, str] = field(default_factory=dict)
     fault: pg.Fault | None = None
+    error: bytes = b""  # the fault as it came
 
 
 class ServerSession:
@@ -105,7 +107,7 @@
         elif asked.fault is not None:
             raise WireError(f"message {kind!r} after an error")
         elif kind == "E":
-            asked.fault = pg.read_fault(frame)
+            asked.fault, asked.error = pg.read_fault(frame), frame.encode()
         elif kind != due:
             raise WireError(f"message {kind!r} where {due or 'the end'!r} is due")
         else:
@@ -132,6 +134,8 @@
             report = read_gauges(asked.told["gauges"])
         if asked.fault is not None:
             state = asked.fault.state
+            if state[:2] in DEFINITE and not asked.probe:
+                return Reply("ok", asked.error, role, None, state, report)
             status = "miss" if state in MISSES else "full" if state == FULL else "error"
             told = dict(asked.fault.fields).get("M", "")
             return Reply(status, None, role, commit, f"{state} {told}"[:60], report)
