One way to open connections; a taken address is a plain error; the stop waits for last words

Seen on reading the change again: the two backends opened connections by the same 40 lines; a listening address that is taken ended in a traceback, as service.main caught OSError and Twisted raises CannotListenError, which is none; a stop slept 50 ms for last words to be written; which settings need a restart was decided beside the signal; rejected clients were counted but the log never said why; nothing tested the program as a whole without the bench.

Change: gateway/dial.py for both backends; the error is told and the exit code is 2; the program ends when the last client is gone, at the latest after 100 ms; config.needs_restart, free of I/O; client_rejected at most once a second; tests of start, reload, stop and both faults at the start.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,9 @@
 """The platform's entry and exit without sockets: statements, lists, discovery, admission, both ends of connections."""
 
+import os
 import socket
+import subprocess
+import sys
 from types import SimpleNamespace
 
 import orjson
@@ -21,11 +24,20 @@
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
 from yardbank.platform.backend import Operation, ServerConnection
 from yardbank.platform.client import EMPTY, MAX_MESSAGE, ClientSession, Refusal
-from yardbank.platform.config import Address, PlatformError, load_config, read_address, read_config, specs
+from yardbank.platform.config import (
+    Address,
+    PlatformError,
+    load_config,
+    needs_restart,
+    read_address,
+    read_config,
+    specs,
+)
 from yardbank.platform.discovery import Body, HttpError, Pauses, Watch
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import ListingError, parse_listing, read_listing
 from yardbank.platform.server import ServerSession, read_gauges
+from yardbank.platform.service import Service
 from yardbank.platform.statement import StatementError, read_statement, since_write
 from yardbank.platform.watch import Watcher
 
@@ -914,3 +926,94 @@
             connection.dataReceived(told)
         connection.connectionLost()
         assert lost == [reason]
+
+
+# The program
+
+
+class Reactor(MemoryReactorClock):
+    """Remembers that it was stopped."""
+
+    stops = 0
+
+    def stop(self):
+        self.stops += 1
+
+
+def service(tmp_path, **change):
+    file = tmp_path / "config.json"
+    file.write_bytes(orjson.dumps({**CONFIG, **change}))
+    reactor, log = Reactor(), Log()
+    made = Service(load_config({"NODE_CONFIG": str(file)}), reactor, log)
+    made.start()
+    return made, reactor, log, file
+
+
+def test_the_service_listens_where_it_is_told_and_follows_discovery_by_reload(tmp_path):
+    made, reactor, log, file = service(tmp_path)
+    (port, factory, _, address) = reactor.tcpServers[0]
+    assert (port, address, factory) == (6432, "127.0.0.4", made.factory)
+    assert reactor.tcpClients[0][:2] == ("127.0.0.9", 8500) and made.gateway.groups == {"3"}
+    file.write_bytes(b"{")
+    made.reload({"NODE_CONFIG": str(file)})
+    assert log.lines[-1][0] == "reload_rejected" and len(reactor.tcpClients) == 1
+    told = {**CONFIG, "discovery": "127.0.0.9:8501", "seed": "77", "listen": "127.0.0.4:7000"}
+    file.write_bytes(orjson.dumps(told))
+    made.reload({"NODE_CONFIG": str(file)})
+    assert [facts["field"] for event, facts in log.lines if event == "reload_partial"] == ["listen"]
+    assert reactor.tcpClients[1][:2] == ("127.0.0.9", 8501)
+    watch, _, _ = connected(reactor)
+    watch.dataReceived(HEAD + chunk(orjson.dumps({"generation": 9, "reset": True, "instances": []}) + b"\n"))
+    assert ("list_applied", {"servers": 0, "changed": 1, "gone": ["s-1"]}) in log.lines
+
+
+def test_a_new_seed_is_no_change_and_other_settings_need_a_restart():
+    held = read_config(orjson.dumps(CONFIG))
+    assert needs_restart(held, read_config(orjson.dumps({**CONFIG, "seed": "1"}))) == []
+    other = {**CONFIG, "settings": {**ENV, "zone": "b"}, "limits": {"sockets": 512}}
+    assert needs_restart(held, read_config(orjson.dumps(other))) == ["limits.sockets", "settings"]
+
+
+def test_a_stop_serves_on_for_a_moment_and_ends_when_the_last_client_has_its_last_word(tmp_path):
+    made, reactor, _, _ = service(tmp_path)
+    client, transport = made.factory.buildProtocol(None), StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    client.makeConnection(transport)
+    client.dataReceived(START)
+    made.stop()
+    made.stop()  # twice is once
+    client.dataReceived(query(""))
+    assert transport.value().endswith(EMPTY) and not transport.disconnecting
+    reactor.advance(0.7)
+    assert transport.disconnecting and not reactor.stops
+    client.connectionLost()
+    reactor.advance(0)
+    reactor.advance(1)
+    assert reactor.stops == 1
+
+
+def test_a_client_that_takes_no_last_word_does_not_keep_the_program(tmp_path):
+    made, reactor, _, _ = service(tmp_path)
+    client, transport = made.factory.buildProtocol(None), StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    client.makeConnection(transport)
+    made.stop()
+    reactor.advance(0.7)
+    assert not reactor.stops
+    reactor.advance(0.2)
+    reactor.advance(0)
+    assert reactor.stops == 1
+
+
+@pytest.mark.parametrize("taken", [True, False], ids=["the address is taken", "no configuration"])
+def test_the_program_ends_with_one_plain_error(tmp_path, taken):
+    with socket.create_server(("127.0.0.1", 0)) as busy:
+        file = tmp_path / "config.json"
+        file.write_bytes(orjson.dumps({**CONFIG, "listen": f"127.0.0.1:{busy.getsockname()[1]}"}))
+        environment = {**os.environ, "NODE_CONFIG": str(file) if taken else str(tmp_path / "none")}
+        ended = subprocess.run(
+            [sys.executable, "-m", "yardbank.platform"], env=environment, capture_output=True, timeout=60, check=False
+        )
+    last = ended.stderr.decode().strip().splitlines()[-1]
+    assert ended.returncode == 2 and last.startswith(f"yardbank: NODE_{'LISTEN' if taken else 'CONFIG'}: ")
+    assert b"Traceback" not in ended.stderr
--- a/yardbank/ldap/backend.py
+++ b/yardbank/ldap/backend.py
@@ -7,10 +7,11 @@
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from yardbank.gateway.api import Connection, Position, Receiver, ServerSpec
+from yardbank.gateway.dial import dial
 from yardbank.ldap import codec, csn
 from yardbank.ldap import messages as m
 from yardbank.ldap.ber import BerError
@@ -177,19 +178,6 @@
             self.transport.loseConnection()
 
 
-class _Connector(ClientFactory):
-    noisy = False
-
-    def __init__(self, make: Callable[[], LdapConnection], lost: Callable[[str], None]) -> None:
-        self._make, self._lost = make, lost
-
-    def buildProtocol(self, addr: Any) -> LdapConnection:
-        return self._make()
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        self._lost(reason.getErrorMessage())
-
-
 class LdapBackend:
     """Reaches LDAP servers; a ``gateway.api.Backend``."""
 
@@ -200,24 +188,7 @@
         self, server: ServerSpec, ready: Callable[[Connection], None], lost: Callable[[str], None]
     ) -> Callable[[], None]:
         """Open a connection; see ``gateway.api.Backend``."""
-        over = False
-
-        def lost_once(reason: str) -> None:
-            nonlocal over
-            if not over:
-                over = True
-                lost(reason)
-
-        factory = _Connector(lambda: LdapConnection(server, self._options, ready, lost_once), lost_once)
-        connector = self._reactor.connectTCP(server.host, server.port, factory, timeout=30)
-
-        def give_up() -> None:
-            if connector.state == "connected":
-                connector.transport.abortConnection()
-            else:
-                connector.disconnect()
-
-        return give_up
+        return dial(self._reactor, server, lambda once: LdapConnection(server, self._options, ready, once), lost)
 
     def describe(self, operation: Exchange) -> str:
         """The kind of operation and what it is about."""
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -5,14 +5,14 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
-from errno import ECONNRESET
 from typing import Any
 
-from twisted.internet.error import ConnectionDone, ConnectionLost
-from twisted.internet.protocol import ClientFactory, Protocol
+from twisted.internet.error import ConnectionDone
+from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
 from yardbank.gateway.api import BROKE_OPENING, Connection, Position, Receiver, Reply, ServerSpec
+from yardbank.gateway.dial import dial
 from yardbank.platform.server import PROBE, ServerSession
 from yardbank.platform.statement import Statement
 
@@ -130,20 +130,6 @@
         self._end("closed")
 
 
-class _Connector(ClientFactory):
-    noisy = False
-
-    def __init__(self, make: Callable[[], ServerConnection], lost: Callable[[str], None]) -> None:
-        self._make, self._lost = make, lost
-
-    def buildProtocol(self, addr: Any) -> ServerConnection:
-        return self._make()
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        broke = reason.check(ConnectionLost, ConnectionDone) or getattr(reason.value, "osError", None) == ECONNRESET
-        self._lost(BROKE_OPENING if broke else reason.getErrorMessage())
-
-
 class PlatformBackend:
     """Reaches the platform's servers; a ``gateway.api.Backend``."""
 
@@ -154,24 +140,7 @@
         self, server: ServerSpec, ready: Callable[[Connection], None], lost: Callable[[str], None]
     ) -> Callable[[], None]:
         """Open a connection; see ``gateway.api.Backend``."""
-        over = False
-
-        def lost_once(reason: str) -> None:
-            nonlocal over
-            if not over:
-                over = True
-                lost(reason)
-
-        factory = _Connector(lambda: ServerConnection(self._now, ready, lost_once), lost_once)
-        connector = self._reactor.connectTCP(server.host, server.port, factory, timeout=30)
-
-        def give_up() -> None:
-            if connector.state == "connected":
-                connector.transport.abortConnection()
-            else:
-                connector.disconnect()
-
-        return give_up
+        return dial(self._reactor, server, lambda once: ServerConnection(self._now, ready, once), lost)
 
     def describe(self, operation: Operation) -> str:
         """The class and what it is about."""
--- a/yardbank/platform/config.py
+++ b/yardbank/platform/config.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -96,6 +96,16 @@
         raise PlatformError(f"{name}: {problem}") from None
 
 
+def needs_restart(held: PlatformConfig, told: PlatformConfig) -> list[str]:
+    """Fields of a new configuration that differ and cannot change in service; the seed is new with each file."""
+    pairs = {
+        "listen": (held.listen, told.listen),
+        "limits.sockets": (held.sockets, told.sockets),
+        "settings": (replace(held.settings, seed=0), replace(told.settings, seed=0)),
+    }
+    return [name for name, (before, after) in pairs.items() if before != after]
+
+
 def specs(listing: Listing) -> list[ServerSpec]:
     """The servers of a whole list."""
     return [spec for spec in listing.entries.values() if spec is not None]
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -22,6 +22,7 @@
 from yardbank.platform.statement import StatementError, read_statement, since_write
 
 COME_AGAIN = 250 * MS  # told to a connection for which there is no room
+LOG_EVERY = 1000 * MS  # of what clients can cause at will
 READ_SIZE = 16 << 10  # octets taken from a client at a time
 
 
@@ -205,7 +206,8 @@
         self._connections: dict[int, ClientConnection] = {}
         self._numbers = count()
         self._cancel_sweep: Callable[[], None] | None = None
-        self._logged_at = 0
+        self._logged_at = self._rejected_logged_at = 0
+        self._emptied: Callable[[], None] | None = None
 
     def buildProtocol(self, addr: Any) -> ClientConnection:
         return ClientConnection(self, next(self._numbers))
@@ -218,7 +220,7 @@
         way = self.admission.arrived(connection.number, now, most)
         if way is not None:
             self.counts["turned_away"] += 1
-            if now - self._logged_at > 1000 * MS:
+            if now - self._logged_at > LOG_EVERY:
                 self._logged_at = now
                 self._log.warning("client_connections_bound", bound=most)
         if way == connection.number:
@@ -241,10 +243,16 @@
         """A connection is gone."""
         self.admission.left(connection.number)
         self._connections.pop(connection.number, None)
+        if self._emptied is not None and not self._connections:
+            self._emptied()
 
     def rejected(self, reason: str) -> None:
         """A client sent what cannot be served."""
         self.counts["rejected"] += 1
+        now = self.gateway.now()
+        if now - self._rejected_logged_at > LOG_EVERY:  # the latest of each second; the view has the count
+            self._rejected_logged_at = now
+            self._log.warning("client_rejected", reason=reason[:200], rejected=self.counts["rejected"])
 
     def _arm(self) -> None:
         self._cancel_sweep = self.gateway.call_at(self.gateway.now() + 250 * MS, self._sweep)
@@ -271,7 +279,10 @@
             if connection := self._connections.get(number):
                 connection.close(b"")
 
-    def close_all(self) -> None:
-        """Everything is answered."""
+    def close_all(self, emptied: Callable[[], None]) -> None:
+        """Everything is answered; ``emptied`` is called when the last connection is gone."""
+        self._emptied = emptied
+        if not self._connections:
+            emptied()
         for connection in list(self._connections.values()):
             connection.close(b"")
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -18,12 +18,13 @@
 from yardbank.gateway.positions import ClockPositions
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
 from yardbank.platform.backend import PlatformBackend
-from yardbank.platform.config import PlatformConfig, PlatformError, load_config, specs
+from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
 from yardbank.platform.watch import Watcher
 
 LINGER = 600 * MS  # after SIGTERM clients still come for a moment: they are served as ever
+LAST_WORDS = 100 * MS  # for clients to take what was written to them
 VIEW_EVERY = 5 * SECOND
 
 
@@ -67,6 +68,8 @@
         )
         self.watcher = Watcher(config.discovery, config.known.generation, self._listed, reactor, log)
         self._port: Any = None
+        self._last: Any = None
+        self._ended = False
 
     def start(self) -> None:
         """Take the list that is known, listen, watch discovery."""
@@ -99,12 +102,8 @@
         except PlatformError as problem:
             self.log.error("reload_rejected", problem=str(problem))
             return
-        for name in ("listen", "settings", "sockets"):
-            before, after = getattr(self.config, name), getattr(config, name)
-            if name == "settings":  # the seed is new with each file
-                before, after = (before.classes, before.zone), (after.classes, after.zone)
-            if before != after:
-                self.log.warning("reload_partial", field=name, note="cannot change in service; restart to apply it")
+        for name in needs_restart(self.config, config):
+            self.log.warning("reload_partial", field=name, note="cannot change in service; restart to apply it")
         self.watcher.move(config.discovery)
         self.log.info("reloaded", discovery=f"{config.discovery.host}:{config.discovery.port}")
 
@@ -122,8 +121,16 @@
 
     def _stopped(self) -> None:
         self.watcher.stop()
-        self.factory.close_all()
-        self._reactor.callLater(0.05, self._reactor.stop)  # last words still have to be written
+        self.factory.close_all(self._end)
+        self._last = self._reactor.callLater(LAST_WORDS / 1e9, self._end)
+
+    def _end(self) -> None:
+        """Every last word is written, or has had its time."""
+        if self._last is not None and self._last.active():
+            self._last.cancel()
+        if not self._ended:
+            self._ended = True
+            self._reactor.callLater(0, self._reactor.stop)
 
 
 def _log() -> Any:
@@ -150,6 +157,7 @@
         print(f"yardbank: {problem}", file=sys.stderr)
         return 2
     from twisted.internet import reactor as installed
+    from twisted.internet.error import CannotListenError
 
     reactor: Any = installed
     reactor.seconds = time.monotonic  # timers must not move when the wall clock is set
@@ -159,7 +167,7 @@
     signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(service.reload, os.environ))
     try:
         service.start()
-    except OSError as problem:  # the address cannot be listened on
+    except CannotListenError as problem:
         print(f"yardbank: NODE_LISTEN: {problem}", file=sys.stderr)
         return 2
     gc.collect()
