A group that answered late is looked at before it is sent to: the fleet comes back

Copies of the fullest fall behind (misses from second 1), their reads go to the primary (118 in one second at one that answers 50), its queue fills with what nobody waits for any more, and what it holds makes it slow: 20 attempts a second taken, none answered in time for 8 s and longer (s- from second 6 to 20). Then admission, over all groups, sheds the healthy ones too. Ruled out: a hang (answers come again once few are sent), roles, connections, probes. At fault: a thin gateway asks each server once in seconds (strain_of, limit, count go by its own answers alone). Change: reports' utilization reaches the module (Report.load). Reads look at a primary always, and do not go there from replicas that have too much. Where no load is told nothing changes.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -81,4 +81,9 @@
     ]
 
 
-__all__ = ["MS", "SECOND", "START", "Member", "Report", "Role", "World", "group"]
+def told(world, server, load, lag=0, primary=False, after=0):
+    """The server tells by a probe how busy it is, and proves its position and role."""
+    return world.feed(Probed(server, "ok", MS, Report(world.now + after - lag, primary, load)), after)
+
+
+__all__ = ["MS", "SECOND", "START", "Member", "Report", "Role", "World", "group", "told"]
--- /dev/null
+++ b/tests/test_collapse.py
@@ -0,0 +1,87 @@
+"""A fleet of thin gateways after a burst: it comes back by itself, and without what it goes by it does not."""
+
+import pytest
+
+from yardbank.emulator.clock import VirtualClock
+from yardbank.emulator.server import FULL, MISS, OK, SECOND, Capacity, EmulatedServer, Work
+from yardbank.policy import Router
+from yardbank.rig.virtual import Fleet, World, served_share
+
+
+def shares(**more):
+    """Worth served before a burst of half as much again, and from two to four seconds after it."""
+    world = World(**({"gateways": 200, "groups": 4, "rate": 520.0, "length": 11.0} | more),
+                  load=lambda second: 1.6 if 3 <= second < 6 else 1.0)  # fmt: skip
+    fleet = Fleet(world, Router)
+    spans = fleet.run()
+    return served_share(spans, 1, 3), served_share(spans, 8, 10), spans
+
+
+def test_a_fleet_comes_back_within_two_seconds_of_a_burst():
+    before, after, _ = shares()
+    assert before > 0.85 and after > 0.95 * before
+
+
+def test_the_model_is_hard_enough_to_keep_a_blind_fleet_down():
+    before, after, _ = shares(tells_load=False)
+    assert after < 0.8 * before
+
+
+def test_the_same_seed_gives_the_same_run():
+    runs = [shares(gateways=20, rate=100.0, length=10.0)[2] for _ in range(2)]
+    assert runs[0] == runs[1]
+
+
+def test_requests_share_cores_wait_for_slots_and_are_turned_away():
+    clock = VirtualClock(SECOND)
+    server = EmulatedServer(clock, Capacity(cores=2, slots=4, queue=1, crowd=9), primary=True)
+    start = clock.now
+    ends = []
+    for _ in range(6):
+        server.submit(Work(1.0, lambda end: ends.append((end, round((clock.now - start) / SECOND, 2)))))
+    assert ends == [(FULL, 0.0)] and server.held == 5
+    clock.run(20 * SECOND)
+    assert ends[1:5] == [(OK, 2.0)] * 4 and ends[5] == (OK, 3.0)  # four share two cores; the fifth then has one
+
+
+def test_what_a_server_holds_makes_it_slower():
+    times = []
+    for crowd in (9.0, 1.0):
+        clock = VirtualClock(SECOND)
+        server = EmulatedServer(clock, Capacity(cores=1, slots=4, queue=0, crowd=crowd, thrash=0.5), primary=True)
+        ends = []
+        for _ in range(4):
+            server.submit(Work(1.0, lambda end, ends=ends, clock=clock: ends.append(clock.now)))
+        clock.run(60 * SECOND)
+        times.append((ends[-1] - SECOND) / SECOND)
+    assert times[0] == pytest.approx(4, abs=0.01) and times[1] == pytest.approx(10, abs=0.01)
+
+
+def test_a_copy_falls_behind_under_reads_and_says_miss():
+    clock = VirtualClock(SECOND)
+    copy = EmulatedServer(clock, Capacity(cores=1, slots=9, crowd=10, apply_s=0.1), primary=False)
+    ends = []
+    for _ in range(9):
+        copy.submit(Work(1.0, ends.append))
+    copy.commit(clock.now)
+    clock.run(clock.now + SECOND // 2)  # its thread has had a tenth of the core: half of what it needs
+    assert copy.position() < SECOND and not ends
+    copy.submit(Work(1.0, ends.append), need=clock.now)
+    copy.submit(Work(1.0, ends.append, write=True))
+    assert ends == [MISS, MISS]
+    clock.run(clock.now + SECOND)
+    assert copy.position() == clock.now
+
+
+def test_load_is_that_of_the_last_period_and_a_dead_process_answers_nothing():
+    clock = VirtualClock(SECOND)
+    server = EmulatedServer(clock, Capacity(cores=2), primary=True)
+    ends = []
+    server.submit(Work(0.5, ends.append))
+    clock.run(2 * SECOND)
+    server.measure(SECOND)
+    assert server.load == pytest.approx(0.25) and ends == [OK]
+    server.submit(Work(0.5, ends.append))
+    server.stop()
+    clock.run(4 * SECOND)
+    assert ends == [OK] and server.held == 0
--- a/yardbank/adapter.py
+++ b/yardbank/adapter.py
@@ -96,6 +96,7 @@
         tokens=word(domain, "session_marks", TOKENS, "kept"),
         tells_position=field(domain, "tells_position", bool, False),
         reports=word(field(env, "reporting", dict, {}), "via", REPORTS, "silent"),
+        tells_load="utilization" in field(field(env, "reporting", dict, {}), "names", list, []),
         period=field(env, "period", int, 1_000_000),
         max_attempts=field(limits, "max_attempts", int, 1),
         may_cancel=field(limits, "cancel", bool, False),
@@ -220,6 +221,7 @@
         return api.Report(
             position=None if seconds is None else self.zeros[gateway] + int(seconds * 1e9),
             primary=None if primary is None else primary == 1,
+            load=field(gauge, "utilization", NUMBER, None),
         )
 
     def _list(self, gateway: int, item: Any) -> api.ServerList:
--- a/yardbank/gateway/api.py
+++ b/yardbank/gateway/api.py
@@ -66,10 +66,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Position:
-    """What a probe told: marks by origin, and whether the server says it is primary (None: it does not say)."""
+    """What a probe told: marks by origin, and whether the server says it is primary (None: it does not say).
+
+    ``load`` is the share of its cores that the server says is busy, where it tells that.
+    """
 
     marks: Vector
     primary: bool | None = None
+    load: float | None = None
 
 
 class Sink(Protocol):
--- a/yardbank/gateway/positions.py
+++ b/yardbank/gateway/positions.py
@@ -61,8 +61,8 @@
     def report(self, server: int, position: Position, sent_at: int) -> Report:
         """The report that a probe's answer amounts to: a primary stands at the time it was asked."""
         if position.primary:
-            return Report(sent_at, True)
-        return Report(self._of(self._group[server]).position(position.marks), position.primary)
+            return Report(sent_at, True, position.load)
+        return Report(self._of(self._group[server]).position(position.marks), position.primary, position.load)
 
     def marks(self, server: int) -> dict[str, Mark]:
         """The marks that a server last told."""
@@ -104,7 +104,7 @@
     def report(self, server: int, position: Position, sent_at: int) -> Report:
         """What the server said, as it said it."""
         at = max((int(mark[0]) for mark in position.marks.values()), default=None)
-        return Report(at, position.primary)
+        return Report(at, position.primary, position.load)
 
     def dropped(self, server: int) -> None:
         """Servers come and go under new names for good: nothing is kept of one that has left."""
--- a/yardbank/interface.py
+++ b/yardbank/interface.py
@@ -57,6 +57,7 @@
     tokens: str = "remembered"  # remembered | carried
     tells_position: bool = False  # every answer carries a position
     reports: str = "none"  # answers | probe | none
+    tells_load: bool = False  # reports say how busy a server's cores are
     period: int = 1_000_000  # least time between two batches
     max_attempts: int = 1
     may_cancel: bool = False
@@ -109,6 +110,7 @@
 
     position: int | None = None
     primary: bool | None = None
+    load: float | None = None  # the share of its cores that is busy
 
 
 # Events
--- a/yardbank/platform/server.py
+++ b/yardbank/platform/server.py
@@ -168,7 +168,8 @@
 def read_gauges(text: str) -> Position | None:
     """A load report, ``name=number`` with commas between; None if it cannot be read.
 
-    Of its fields the decision module uses the position (``x0``, in seconds) and the role (``x1``, 1 for a primary).
+    Of its fields the decision module uses the position (``x0``, in seconds), the role (``x1``, 1 for a primary) and
+    how busy the cores are (``utilization``).
     """
     held: dict[str, str] = {}
     for part in text.split(","):
@@ -184,4 +185,5 @@
     if "x0" in held and at is None:
         return None
     primary = float(held["x1"]) == 1 if "x1" in held else None
-    return Position({} if at is None else {ORIGIN: (at,)}, primary)
+    load = float(held["utilization"]) if "utilization" in held else None
+    return Position({} if at is None else {ORIGIN: (at,)}, primary, load)
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -29,6 +29,10 @@
 EQUALS = 1.3  # servers that look dearer than the best by no more than this are equals: their shares decide
 LOOK = 16  # members looked at for one read, where a group has more
 LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
+WARY = 3 * SECOND  # after a late answer or none, a group's servers are looked at before they are sent to
+FRESH = 700 * MS  # how long what a server tells of its load is gone by
+EASY, EASY_SPILL = 0.7, 0.4  # the load up to which all is sent to a server, and all reads to a primary
+STILL = 0.1  # the share that a full server is still sent
 
 
 class Server:
@@ -46,6 +50,7 @@
         self.failures = self.retry_at = self.rest = self.rest_until = self.refused_at = 0
         self.listed_primary = self.drained = self.silent = self.probing = False
         self.answered_at = now
+        self.load, self.load_at = 0.0, -FRESH  # the share of its cores in use, as it last told
         self.idle_limit = IDLE  # a connection unused for longer may be dead: it is closed before a send
 
     def is_primary(self) -> bool:
@@ -104,6 +109,8 @@
         self.floors: dict[int, int] = {}  # every session's token in a group is at least this
         self.sweep_every = max(2 * settings.period, min(kind.aim for kind in settings.classes) // 10)
         self.pressed_at = -MEMORY  # when a server last was full or took no connection
+        self.loads: dict[tuple[int, bool], tuple[float, int]] = {}  # told last in a group
+        self.wary: dict[int, int] = {}  # until when, by group
         self.scarce_until, self.armed, self.ranking = 0, False, self.order()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -155,6 +162,9 @@
 
     def learn_report(self, server: Server, report: api.Report | None) -> None:
         """A report is exact but old: the role in it was true at its position."""
+        if report and report.load is not None:
+            server.load, server.load_at = report.load, self.now
+            self.loads[server.group, server.is_primary()] = server.load, self.now
         if report and report.position is not None and report.position <= self.now:
             if report.primary is not None and report.position >= server.position:
                 server.role_at[report.primary] = max(server.role_at[report.primary], report.position)
@@ -274,12 +284,48 @@
         limit = server.limit if alone or not server.is_primary() else server.limit / 2
         if len(server.waiting) >= max(1.0, limit * warmth) or self.now < server.rest_until:
             return False
+        if self.crowded(server, held):
+            return False
         if warmth >= 1.0:  # the usual case; looking up a place costs a walk over the group
             return True
         size = 1 if alone else self.most[server.group]
         place = held.lot + self.groups[server.group].index(server) / size
         return place % 1.0 < warmth / size
 
+    def must_look(self, server: Server, held: Held) -> bool:
+        """Whether a server's load is asked for before it is sent to.
+
+        Hundreds of gateways see one request a second each of a group: a late answer is all the warning that one
+        gets, and together they fill a server while each waits for its next.
+        """
+        spills = server.is_primary() and held.kind.read not in ("write", "fresh")
+        return self.set.tells_load and (spills or self.now < self.wary.get(held.request.group, 0))
+
+    def load_of(self, server: Server) -> float | None:
+        """What a server told of its load lately, else what one like it in its group did."""
+        if self.now - server.load_at < FRESH:
+            return server.load
+        load, at = self.loads.get((server.group, server.is_primary()), (0.0, -FRESH))
+        return load if self.now - at < FRESH else None
+
+    def crowded(self, server: Server, held: Held) -> bool:
+        """Whether a server is so busy that it is left to what is worth more: the fuller, the less is sent."""
+        if not self.must_look(server, held) or (load := self.load_of(server)) is None:
+            return False
+        alone = held.kind.read in ("write", "fresh")
+        easy = EASY if alone or not server.is_primary() else EASY_SPILL
+        rivals = [kind.name for kind in self.set.classes if (kind.read in ("write", "fresh")) == alone]
+        return self.place(held, rivals) > max(STILL, 1 - (load - easy) / (1 - easy))
+
+    def place(self, held: Held, rivals: Sequence[str]) -> float:
+        """Where a request stands among those of some classes, by worth and by lot: 0 first, 1 last."""
+        ahead = 0.0
+        for name, late in self.ranking:
+            if name == held.kind.name and not late:
+                break
+            ahead += self.asked[name] if name in rivals and not late else 0.0
+        return (ahead + held.lot * self.asked[held.kind.name]) / sum(self.asked[name] for name in rivals)
+
     def pick(self, held: Held) -> Server | None:
         """The server for the next attempt, or none for now."""
         primary = self.primary(held.request.group)
@@ -309,6 +355,8 @@
             return trial[0]
         room = [(self.cost(s, primary), s) for s in well or trial or able if self.has_room(s, held)]
         least, best = min(room, key=lambda pair: pair[0], default=(0.0, None))
+        if best is primary and any(s is not primary and self.crowded(s, held) for s in well):
+            return None  # what replicas have too much of would be too much for a primary sooner
         if best is None or all(s.share == best.share for _, s in room):
             return best
         equals = [s for cost, s in room if cost <= EQUALS * least or (cost <= CALM and s.zone == best.zone)]
@@ -340,6 +388,8 @@
         server = self.pick(held)
         if server is None:
             return self.hold(held)
+        if self.must_look(server, held) and self.load_of(server) is None and self.probe(server):
+            return self.hold(held)
         self.unhold(held)
         key, idle = (held.request.id, held.attempts), 0 if server.waiting else self.now - server.answered_at
         if idle > server.idle_limit:
@@ -362,9 +412,7 @@
         It could hurt where a third of all attempts fail for another reason.
         """
         share = (YIELD * self.tally[1] + 1) / max(self.tally[0], 1.0)
-        rank = self.ranking.index((held.kind.name, False))
-        better = sum(self.asked[name] for name, late in self.ranking[:rank] if not late)
-        first = better + held.lot * self.asked[held.kind.name] <= share * sum(self.asked.values())
+        first = self.place(held, list(self.asked)) <= share
         if not (first or held.lot < share / 4):  # a little of each class, else none may be left to try
             strain = max(self.zones.values(), default=0.0)
             if strain > FULL_STRAIN or self.now - self.pressed_at < MEMORY:  # else it would feed itself
@@ -441,6 +489,8 @@
         waited = status == "timeout" and late and event.latency > self.usual[kind.name]
         if status in ("ok", "full") or waited:
             self.count(status == "ok" and event.latency <= kind.aim)
+        if status in ("miss", "full", "timeout") or (status == "ok" and event.latency > kind.aim):
+            self.wary[server.group] = self.now + WARY
         self.settle(event, attempt)
         self.route_waiting(server.group)
 
@@ -502,6 +552,8 @@
         for server in {attempt.server.id: attempt.server for attempt in self.attempts.values()}.values():
             self.check_silence(server)
             self.check_lost(server)
+            if any(self.now - attempt.sent_at > attempt.held.kind.aim for attempt in server.waiting.values()):
+                self.wary[server.group] = self.now + WARY  # it is late for certain
         for held in [held for waiting in list(self.waiting.values()) for held in waiting.values()]:
             half = (held.arrived + held.request.expires) // 2  # told by then, a client can try elsewhere
             unsent = not held.attempts and self.now + self.sweep_every > half
