--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -295,8 +295,8 @@
     def must_look(self, server: Server, held: Held) -> bool:
         """Whether a server's load is asked for before it is sent to.
 
-        Hundreds of gateways see one request a second each of a group: a late answer is all the warning that one
-        gets, and together they fill a server while each waits for its next.
+        Hundreds of gateways see one request a second each of a group: a late answer is all the warning they
+        get, and together they fill a server while each waits for its next.
         """
         spills = server.is_primary() and held.kind.read not in ("write", "fresh")
         return self.set.tells_load and (spills or self.now < self.wary.get(held.request.group, 0))
