Full servers are left alone, shedding no longer feeds itself, outages leave no class hopeless

Ruled out: limits, doubts and silence (all over 4 s after the outage while 1300 requests a second had 'no time left'). Change: full begins at 0.9 and gets 3 in 100, a told load holds for 1 s; where load is told, only what servers did counts; hopeless goes by half the aim at most; probes left unanswered come at longer intervals.

--- a/tests/test_collapse.py
+++ b/tests/test_collapse.py
@@ -27,6 +27,15 @@
     assert after < 0.8 * before
 
 
+def test_a_fleet_comes_back_after_all_servers_were_gone_for_three_seconds():
+    world = World(gateways=200, groups=4, rate=400.0, length=14.0,
+                  faults=((3, lambda fleet: fleet.every(EmulatedServer.stop)),
+                          (6, lambda fleet: fleet.every(EmulatedServer.start))))  # fmt: skip
+    spans = Fleet(world, Router).run()
+    before = served_share(spans, 1, 3)
+    assert served_share(spans, 4, 6) < 0.6 * before < 0.85 * before < served_share(spans, 11, 14)
+
+
 def test_the_same_seed_gives_the_same_run():
     runs = [shares(gateways=20, rate=100.0, length=10.0)[2] for _ in range(2)]
     assert runs[0] == runs[1]
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -24,6 +24,7 @@
 from yardbank.gateway.ending import NEVER_RAN, allowance, may_be_refused, standing, strained
 from yardbank.gateway.link import Attempt, Way
 from yardbank.gateway.positions import Positions
+from yardbank.gateway.view import gateway_view
 from yardbank.policy import Router
 from yardbank.timeline import Mark
 
@@ -319,33 +320,13 @@
 
     def view(self) -> dict[str, Any]:
         """What the gateway makes of its load and its servers, for the log."""
-        router = self._router
-        servers = {}
-        for name, spec in self._specs.items():
-            server = router.servers.get(self._servers[name])
-            if server is not None:
-                way = self._ways.get(server.id)
-                servers[name] = {
-                    "group": spec.group,
-                    "zone": spec.zone,
-                    "primary": server.is_primary(),
-                    "state": spec.state,
-                    "out": len(server.waiting),
-                    "limit": round(server.limit, 1),
-                    "strain": round(server.strain, 2),
-                    "lag_ms": server.lag // 1_000_000,
-                    "failures": server.failures,
-                    "silent": server.silent,
-                    "connections": way.connections if way else 0,
-                }
         return {
             "owed": self._owed,
-            "held": sum(map(len, router.waiting.values())),
             "counts": self.counts,
             "refused": dict(self._refused),
-            "ends": dict(self._ends),
-            "wanted_and_good": [round(each, 1) for each in router.tally],  # lately: what admission goes by
-            "servers": servers,
+            **gateway_view(
+                self._router, self._specs, self._servers, self.connections(), self._groups, self._ends
+            ),
         }
 
     def _host_stops(self) -> None:
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import random
-from collections import OrderedDict, defaultdict
+from collections import Counter, OrderedDict, defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from math import exp
@@ -30,9 +30,9 @@
 LOOK = 16  # members looked at for one read, where a group has more
 LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
 WARY = 3 * SECOND  # after a late answer or none, a group's servers are looked at before they are sent to
-FRESH = 700 * MS  # how long what a server tells of its load is gone by
+FRESH = SECOND  # how long what a server tells of its load is gone by
 EASY, EASY_SPILL = 0.7, 0.4  # the load up to which all is sent to a server, and all reads to a primary
-STILL = 0.1  # the share that a full server is still sent
+FULL_LOAD, STILL = 0.9, 0.03  # the load at which a server is full, as reports err; the share it is still sent
 
 
 class Server:
@@ -47,6 +47,7 @@
         self.strain, self.strained_at = CALM, now  # its answers' latency as a share of their class's aim
         self.limit = LIMIT  # how much may be outstanding there; more waits here, where it is ordered
         self.waiting: dict[tuple[str, int], Attempt] = {}  # what is outstanding, oldest first
+        self.unanswered = 0  # probes in a row
         self.failures = self.retry_at = self.rest = self.rest_until = self.refused_at = 0
         self.listed_primary = self.drained = self.silent = self.probing = False
         self.answered_at = now
@@ -111,6 +112,7 @@
         self.pressed_at = -MEMORY  # when a server last was full or took no connection
         self.loads: dict[tuple[int, bool], tuple[float, int]] = {}  # told last in a group
         self.wary: dict[int, int] = {}  # until when, by group
+        self.shed: Counter[str] = Counter()  # requests given up, by why: for the log
         self.scarce_until, self.armed, self.ranking = 0, False, self.order()
 
     def handle(self, now: int, event: api.Event) -> list[api.Action]:
@@ -315,7 +317,7 @@
         alone = held.kind.read in ("write", "fresh")
         easy = EASY if alone or not server.is_primary() else EASY_SPILL
         rivals = [kind.name for kind in self.set.classes if (kind.read in ("write", "fresh")) == alone]
-        return self.place(held, rivals) > max(STILL, 1 - (load - easy) / (1 - easy))
+        return self.place(held, rivals) > max(STILL, 1 - (load - easy) / (FULL_LOAD - easy))
 
     def place(self, held: Held, rivals: Sequence[str]) -> float:
         """Where a request stands among those of some classes, by worth and by lot: 0 first, 1 last."""
@@ -383,8 +385,12 @@
 
     def route(self, held: Held) -> None:
         """Send a request now, hold it, or give it up."""
-        if not self.may_resend(held) or self.hopeless(held) or not self.admits(held):
-            return self.give_up(held)
+        if not self.may_resend(held):
+            return self.give_up(held, "no attempt left")
+        if self.hopeless(held):
+            return self.give_up(held, "no time left")
+        if not self.admits(held):
+            return self.give_up(held, "share")
         server = self.pick(held)
         if server is None:
             return self.hold(held)
@@ -405,17 +411,22 @@
         fade = exp((self.tallied_at - self.now) / MEMORY)
         self.tally, self.tallied_at = [self.tally[0] * fade + 1, self.tally[1] * fade + good], self.now
 
+    def share(self) -> float:
+        """The part of what is asked for that is let through: 1 and more is all."""
+        return (YIELD * self.tally[1] + 1) / max(self.tally[0], 1.0)
+
     def admits(self, held: Held) -> bool:
         """Servers that answer late or "full" get less, the least worth first: retries would keep queues full.
 
         One gateway sees too little of one server, so all count together, but not misses or lost connections.
         It could hurt where a third of all attempts fail for another reason.
         """
-        share = (YIELD * self.tally[1] + 1) / max(self.tally[0], 1.0)
+        share = self.share()
         first = self.place(held, list(self.asked)) <= share
         if not (first or held.lot < share / 4):  # a little of each class, else none may be left to try
             strain = max(self.zones.values(), default=0.0)
-            if strain > FULL_STRAIN or self.now - self.pressed_at < MEMORY:  # else it would feed itself
+            pressed = strain > FULL_STRAIN or self.now - self.pressed_at < MEMORY  # else it would feed itself
+            if pressed and not self.set.tells_load:  # where load is told, only what servers did counts
                 self.count(False)
         return first or held.lot < share / 4
 
@@ -423,7 +434,8 @@
         """It can no longer be answered while that is worth something: its work would only delay others."""
         aim = held.arrived + held.kind.aim
         useful = held.request.expires if held.kind.late_worth else min(held.request.expires, aim)
-        return self.now + max(self.usual[held.kind.name], 2 * self.sweep_every) > useful
+        usual = min(self.usual[held.kind.name], held.kind.aim / 2)  # else after an outage none is ever tried
+        return self.now + max(usual, 2 * self.sweep_every) > useful
 
     def hold(self, held: Held) -> None:
         """Keep a request back until there is room."""
@@ -445,8 +457,9 @@
                  for kind in self.set.classes for late in (False, True)}  # fmt: skip
         return sorted(worth, key=lambda key: -worth[key])
 
-    def give_up(self, held: Held) -> None:
+    def give_up(self, held: Held, why: str) -> None:
         """Answer at once: a refusal where it is true that trying again is harmless, else a failure."""
+        self.shed[why] += 1
         self.requests.pop(held.request.id, None)
         self.unhold(held)
         kind, harmless = held.kind, held.ran_at is None
@@ -524,7 +537,9 @@
             return
         server.probing = False
         if event.status != "ok":
+            server.unanswered += 1
             return self.doubt(server, silent=False)
+        server.unanswered = 0
         self.learn_report(server, event.report)
         if self.now - server.refused_at < BACKOFF:
             self.scarce_until = self.now + SCARCE
@@ -535,7 +550,8 @@
     def probe(self, server: Server) -> bool:
         """Probe only for what the next decision needs: hundreds of gateways ask the same servers."""
         if self.now >= server.probe_at and self.set.may_probe and self.set.reports != "none":
-            server.probe_at = self.now + max(ASK_EVERY, self.set.gateways * ASK_TOGETHER)
+            every = max(ASK_EVERY, self.set.gateways * ASK_TOGETHER)
+            server.probe_at = self.now + (every << min(server.unanswered, 3))  # fewer in an outage
             server.probing = True
             self.out.append(api.Probe(server.id))
         return server.probing
@@ -556,7 +572,11 @@
                 self.wary[server.group] = self.now + WARY  # it is late for certain
         for held in [held for waiting in list(self.waiting.values()) for held in waiting.values()]:
             half = (held.arrived + held.request.expires) // 2  # told by then, a client can try elsewhere
-            unsent = not held.attempts and self.now + self.sweep_every > half
-            (self.give_up if unsent or self.hopeless(held) else self.hold)(held)
+            if not held.attempts and self.now + self.sweep_every > half:
+                self.give_up(held, "held for half its time")
+            elif self.hopeless(held):
+                self.give_up(held, "no time left")
+            else:
+                self.hold(held)
         for group in {group: 0 for (group, _, _), waiting in self.waiting.items() if waiting}:
             self.route_waiting(group)
--- a/yardbank/rig/virtual.py
+++ b/yardbank/rig/virtual.py
@@ -329,6 +329,12 @@
             server.measure(REPORT_EVERY)
         self.clock.at(self.clock.now + REPORT_EVERY, self._measure)
 
+    def every(self, do: Callable[[EmulatedServer], None], zone: str = "") -> None:
+        """Do something to each server, or to each of one zone."""
+        for member in self.members:
+            if zone in ("", member.zone):
+                do(self.servers[member.server])
+
     def _arrive(self) -> None:
         """The next first try; the one after it is drawn at once, whatever becomes of this one."""
         second = (self.clock.now - START) / SECOND
