--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -80,7 +80,7 @@
 class Refuses(Router):
     """Says that nothing ran, whatever happened."""
 
-    def give_up(self, held):
+    def give_up(self, held, why):
         held.ran_at = None
         super().give_up(held)
 
