--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -82,7 +82,7 @@
 
     def give_up(self, held, why):
         held.ran_at = None
-        super().give_up(held)
+        super().give_up(held, why)
 
 
 def test_a_refusal_of_what_ran_is_found():
