Told loads are gone by in fleets of 32 gateways and more only

Change: the looks, and shedding that does not count, start from the fleet's size in the settings; below 32 gateways the module does as before.

--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -172,3 +172,10 @@
     assert gaps[0] < 2 * gaps[2] < 4 * gaps[-1] and max(gaps) < 2 * SECOND
     world.feed(Probed(2, "ok", MS, Report(world.now, False, 0.1)))
     assert world.router.servers[2].unanswered == 0
+
+
+def test_few_gateways_go_by_what_they_hear_themselves():
+    world = World(group(2), gateways=5, reports="probe", checks="refuse", tells_load=True)
+    stumble(world)
+    world.ask("second", "lookup")
+    assert world.of(Send) and not world.of(Probe)
--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -29,8 +29,8 @@
 EQUALS = 1.3  # servers that look dearer than the best by no more than this are equals: their shares decide
 LOOK = 16  # members looked at for one read, where a group has more
 LAG_LIFE = 2 * SECOND  # how long a replica that was behind is taken to need to catch up
-WARY = 3 * SECOND  # once answers come late or not, a group's servers are looked at before they are sent to
-WARN = 0.2  # the share of late ones, mostly the last that came, at which that begins
+FLEET = 32  # so many gateways hear too little each to judge servers by their own answers alone
+WARY = 3 * SECOND  # after a late answer or none, a group's servers are looked at before they are sent to
 FRESH = SECOND  # how long what a server tells of its load is gone by
 EASY, EASY_SPILL = 0.7, 0.4  # the load up to which all is sent to a server, and all reads to a primary
 FULL_LOAD, STILL = 0.9, 0.03  # the load at which a server is full, as reports err; the share it is still sent
@@ -73,7 +73,6 @@
     sent_at: int
     idle: int  # how long its connection had been unused
     cancelled: bool = False
-    late: bool = False  # it has counted as a late one
 
 
 @dataclass(slots=True)
@@ -113,8 +112,8 @@
         self.sweep_every = max(2 * settings.period, min(kind.aim for kind in settings.classes) // 10)
         self.pressed_at = -MEMORY  # when a server last was full or took no connection
         self.loads: dict[tuple[int, bool], tuple[float, int]] = {}  # told last in a group
+        self.looks = settings.tells_load and settings.gateways >= FLEET  # told loads are gone by
         self.wary: dict[int, int] = {}  # until when, by group
-        self.bad: dict[int, tuple[float, int]] = {}  # share of late ones, when reckoned, by group
         self.shed: Counter[str] = Counter()  # requests given up, by why: for the log
         self.scarce_until, self.armed, self.ranking = 0, False, self.order()
 
@@ -304,18 +303,7 @@
         get, and together they fill a server while each waits for its next.
         """
         spills = server.is_primary() and held.kind.read not in ("write", "fresh")
-        return self.set.tells_load and (spills or self.now < self.wary.get(held.request.group, 0))
-
-    def warn(self, group: int, late: bool) -> None:
-        """An answer came late, or none or a miss, or it came in time.
-
-        To a gateway that hears little one is a warning; among hundreds a few are late on any day.
-        """
-        share, at = self.bad.get(group, (0.0, -SECOND))
-        share += (0.5 - 0.4 * exp((at - self.now) / (2 * SECOND))) * (late - share)
-        self.bad[group] = share, self.now
-        if late and share > WARN:
-            self.wary[group] = self.now + WARY
+        return self.looks and (spills or self.now < self.wary.get(held.request.group, 0))
 
     def load_of(self, server: Server) -> float | None:
         """What a server told of its load lately, else what one like it in its group did."""
@@ -440,7 +428,7 @@
         if not (first or held.lot < share / 4):  # a little of each class, else none may be left to try
             strain = max(self.zones.values(), default=0.0)
             pressed = strain > FULL_STRAIN or self.now - self.pressed_at < MEMORY  # else it would feed itself
-            if pressed and not self.set.tells_load:  # where load is told, only what servers did counts
+            if pressed and not self.looks:  # where loads are gone by, only what servers did counts
                 self.count(False)
         return first or held.lot < share / 4
 
@@ -516,8 +504,8 @@
         waited = status == "timeout" and late and event.latency > self.usual[kind.name]
         if status in ("ok", "full") or waited:
             self.count(status == "ok" and event.latency <= kind.aim)
-        if not attempt.late and status in ("ok", "miss", "full", "timeout"):
-            self.warn(server.group, status != "ok" or event.latency > kind.aim)
+        if status in ("miss", "full", "timeout") or (status == "ok" and event.latency > kind.aim):
+            self.wary[server.group] = self.now + WARY
         self.settle(event, attempt)
         self.route_waiting(server.group)
 
@@ -582,10 +570,8 @@
         for server in {attempt.server.id: attempt.server for attempt in self.attempts.values()}.values():
             self.check_silence(server)
             self.check_lost(server)
-            for attempt in server.waiting.values():
-                if not attempt.late and self.now - attempt.sent_at > attempt.held.kind.aim:
-                    attempt.late = True  # for certain: no need to wait for its end
-                    self.warn(server.group, True)
+            if any(self.now - attempt.sent_at > attempt.held.kind.aim for attempt in server.waiting.values()):
+                self.wary[server.group] = self.now + WARY  # it is late for certain
         for held in [held for waiting in list(self.waiting.values()) for held in waiting.values()]:
             half = (held.arrived + held.request.expires) // 2  # told by then, a client can try elsewhere
             if not held.attempts and self.now + self.sweep_every > half:
