--- a/yardbank/policy.py
+++ b/yardbank/policy.py
@@ -436,7 +436,9 @@
         """It can no longer be answered while that is worth something: its work would only delay others."""
         aim = held.arrived + held.kind.aim
         useful = held.request.expires if held.kind.late_worth else min(held.request.expires, aim)
-        usual = min(self.usual[held.kind.name], held.kind.aim / 2)  # else after an outage none is ever tried
+        usual = self.usual[held.kind.name]
+        if self.looks:  # else after an outage none would ever be tried
+            usual = min(usual, held.kind.aim / 2)
         return self.now + max(usual, 2 * self.sweep_every) > useful
 
     def hold(self, held: Held) -> None:
