--- a/yardbank/gateway/api.py
+++ b/yardbank/gateway/api.py
@@ -111,6 +111,7 @@
     time_limit: int = 0  # the client's own, ns; 0: the class's deadline alone
     gather: int = 0  # octets of the answer kept back; 0: the gateway's own bound
     label: str = ""  # for the log
+    present: Callable[[], bool] | None = None  # whether the client is still there, asked before an attempt is written
     facts: Mapping[str, Any] = field(default_factory=dict)
 
 
@@ -127,11 +128,18 @@
         """The connection went with the attempt outstanding."""
 
 
+class NotSentError(ValueError):
+    """An attempt could not be written and the system took no octet of it: it never ran, and may go elsewhere."""
+
+
 class Connection(Protocol):
     """One connection to a server, ready for attempts."""
 
     def submit(self, operation: Any, receiver: Receiver) -> int:
-        """Send an attempt; returns its number on this connection. Raises ``ValueError`` if it cannot be sent."""
+        """Send an attempt; returns its number on this connection.
+
+        Raises ``ValueError`` if it cannot be sent, ``NotSentError`` if besides nothing of it can have gone out.
+        """
 
     def abandon(self, number: int) -> None:
         """Stop waiting for one; what still comes for it is dropped."""
