--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,26 @@
+"""Holds the suite to KNOWN-RED.txt; see ``known_red``."""
+
+import pytest
+
+from tests import known_red
+
+
+def pytest_configure(config):
+    text = known_red.FILE.read_text() if known_red.FILE.exists() else ""
+    try:
+        config.known_red = known_red.read(text)
+    except known_red.KnownRedError as problem:
+        raise pytest.UsageError(str(problem)) from None
+    if absent := known_red.missing(config.known_red, known_red.ROOT):
+        raise pytest.UsageError(f"KNOWN-RED.txt names no test: {', '.join(absent)}")
+
+
+def pytest_collection_modifyitems(config, items):
+    for item in items:
+        if each := known_red.names(item.nodeid, config.known_red):
+            item.add_marker(pytest.mark.xfail(reason=f"{each.cause} (issue {each.issue})", strict=True))
+
+
+def pytest_terminal_summary(terminalreporter, config):
+    for each in config.known_red:
+        terminalreporter.write_line(f"KNOWN RED: {each.test}: {each.cause} (issue {each.issue})")
