--- a/yardbank/platform/config.py
+++ b/yardbank/platform/config.py
@@ -9,10 +9,10 @@
 
 import msgspec
 
-from yardbank.adapter import WireError, read_settings
 from yardbank.gateway.api import ServerSpec
 from yardbank.interface import Settings
 from yardbank.platform.listing import Listing, ListingError, parse_listing, read_port, told_where
+from yardbank.wire import WireError, read_settings
 
 MAX_SECONDS_BETWEEN = 30  # an idle connection's end, where the settings do not say
 
--- /dev/null
+++ b/yardbank/wire.py
@@ -0,0 +1,103 @@
+"""The wire's settings and lists of servers in the interface's terms, each field checked by its name. No I/O."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from yardbank import interface as api
+
+EFFECTS = {"pure": "safe", "token": "keyed", "side_effect": "unsafe"}
+READS = {"mutate": "write", "strong": "fresh", "causal": "session", "lag_bound": "bounded", "eventual": "any"}
+CHECKS = {"silent": "none", "bounce": "refuse", "await": "wait"}
+REPORTS = {"piggyback": "answers", "pull": "probe", "silent": "none"}
+TOKENS = {"brought": "carried", "kept": "remembered"}
+STATES = {"live": "ready", "quiescing": "draining", "dead": "gone"}
+NUMBER = (int, float)
+MISSING = object()
+
+
+class WireError(Exception):
+    """A message that does not follow the wire; the text names the field."""
+
+
+def field(message: Any, name: str, kinds: Any, default: Any = MISSING) -> Any:
+    """The value of a field, checked for its type; absent or null gives the default, if there is one."""
+    if not isinstance(message, dict):
+        raise WireError(f"expected an object holding '{name}'")
+    value = message.get(name)
+    if value is None:
+        if default is MISSING:
+            raise WireError(f"field '{name}' is missing")
+        return default
+    if not isinstance(value, kinds) or (isinstance(value, bool) and kinds is not bool):
+        raise WireError(f"field '{name}' has the wrong type")
+    return value
+
+
+def word(message: Any, name: str, table: dict[str, str], default: Any = MISSING) -> str:
+    """A field whose value is one of a few words, in the interface's terms."""
+    value = field(message, name, str, default)
+    if value not in table:
+        raise WireError(f"field '{name}' has the unknown value '{value}'")
+    return table[value]
+
+
+def read_settings(seed: int, env: Any) -> api.Settings:
+    """The first message's settings in the interface's terms; unknown keys are skipped."""
+    domain, limits = field(env, "domain", dict), field(env, "ceilings", dict, {})
+    rules = field(env, "rules", dict, {})
+    bounds, reads = field(domain, "lag_allowed", list, []), field(domain, "class_read", list)
+    services = field(env, "services", list)
+    if len(reads) < len(services):
+        raise WireError("field 'class_read' names too few classes")
+    classes = []
+    for index, service in enumerate(services):
+        bound = {"lag_allowed": bounds[index]} if index < len(bounds) else {}
+        classes.append(
+            api.RequestClass(
+                name=field(service, "name", str),
+                aim=field(service, "aim", int),
+                deadline=field(service, "hard_limit", int),
+                worth=field(service, "credit", NUMBER, 1.0),
+                late_worth=field(service, "late_worth", NUMBER, 0.0),
+                effect=word(service, "effect", EFFECTS),
+                scope=field(service, "key_scope", str, "all"),
+                window=field(service, "window", int, 0),
+                read=word({"class_read": reads[index]}, "class_read", READS),
+                staleness_bound=field(bound, "lag_allowed", int, 0),
+            )
+        )
+    return api.Settings(
+        seed=seed,
+        zone=field(env, "zone", str, ""),
+        gateways=field(env, "fleet_size", int, 1),
+        classes=tuple(classes),
+        checks=word(domain, "checks", CHECKS, "silent"),
+        patience=field(domain, "patience", int, 0),
+        tokens=word(domain, "session_marks", TOKENS, "kept"),
+        tells_position=field(domain, "tells_position", bool, False),
+        reports=word(field(env, "reporting", dict, {}), "via", REPORTS, "silent"),
+        tells_load="utilization" in field(field(env, "reporting", dict, {}), "names", list, []),
+        period=field(env, "period", int, 1_000_000),
+        max_attempts=field(limits, "max_attempts", int, 1),
+        may_cancel=field(limits, "cancel", bool, False),
+        may_probe=field(limits, "probes", bool, False),
+        connect_timeout=field(limits, "connect_timeout", int, 250_000_000),
+        max_retry_after=field(limits, "max_retry_after", int, 0) if limits.get("retry_after") else 0,
+        subscribe=field(env, "registry_mode", str, "automatic") == "subscribe",
+        cold=field(rules, "cold", int, 0),
+        cold_share=field(rules, "start_capacity", NUMBER, 1.0),
+        only_draining_binds=field(rules, "dropped_stay_open", bool, False),
+    )
+
+
+def read_member(entry: Any) -> api.Member:
+    """One line of a server list."""
+    return api.Member(
+        server=field(entry, "server", int),
+        zone=field(entry, "zone", str, ""),
+        group=field(entry, "shard", NUMBER, 0),
+        primary=field(entry, "head", NUMBER, 0) == 1,
+        state=word(entry, "mode", STATES),
+        started=field(entry, "up_since", int, 0),
+    )
