--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -13,7 +13,8 @@
 from yardbank.pg.wire import Frame, int16, int32, text, value
 from yardbank.platform.admission import State
 from yardbank.platform.client import MAX_MESSAGE, ClientSession, Refusal
-from yardbank.platform.server import ServerSession, read_gauges
+from yardbank.platform.report import read_report
+from yardbank.platform.server import ServerSession
 
 
 def test_a_first_query_may_come_with_the_startup_and_queries_take_turns():
@@ -119,20 +120,20 @@
 
 
 def test_gauges_are_exact_or_nothing():
-    report = read_gauges("inflight=7,x0=1767225600.123,x1=1,util=0.61")
+    report = read_report("inflight=7,x0=1767225600.123,x1=1,util=0.61")
     assert dict(report.marks) == {"clock": (1767225600_123_000_000,)} and report.primary is True
-    assert read_gauges("util=0.61").marks == {} and read_gauges("util=0.61").primary is None
+    assert read_report("util=0.61").marks == {} and read_report("util=0.61").primary is None
     for broken in ("", "x0", "x0=", "x0=soon", "x0=1,x0=2", "=3", "x0=-4", "x0=1e12", "x0=nan"):
-        assert read_gauges(broken) is None
+        assert read_report(broken) is None
 
 
 def test_positions_are_times_and_nothing_is_kept_of_servers_that_left():
     positions = ClockPositions()
     positions.listed(1, 0, True, 0)
     assert positions.committed(1, ("clock", (77,)), 5) == 77 and positions.reference(1) is None
-    reported = read_gauges("x0=2,x1=0")
+    reported = read_report("x0=2,x1=0")
     positions.told(1, reported, 9)
     assert positions.report(1, reported, 9) == Report(2 * SECOND, False)
-    assert positions.report(1, read_gauges("util=1"), 9) == Report(None, None)
+    assert positions.report(1, read_report("util=1"), 9) == Report(None, None)
     positions.dropped(1)
     assert positions.marks(1) == {}
--- a/yardbank/platform/server.py
+++ b/yardbank/platform/server.py
@@ -6,15 +6,14 @@
 
 from __future__ import annotations
 
-import re
 from dataclasses import dataclass, field
-from decimal import Decimal, InvalidOperation
 
-from yardbank.gateway.api import MS, Position, Reply
+from yardbank.gateway.api import MS, Reply
 from yardbank.interface import Role
 from yardbank.pg import messages as pg
 from yardbank.pg.state import Answer, Broken, ClientEnd, Idle, Opened
 from yardbank.pg.wire import Frame, Reader, WireError
+from yardbank.platform.report import ORIGIN, nanoseconds, read_report
 
 MAX_MESSAGE = 1 << 20  # answers of several hundred KiB were seen; what is said to be longer is taken for spoilt
 MAX_STATUS = 64  # parameters told along with one answer
@@ -23,8 +22,6 @@
 DEFINITE = frozenset(("22", "23", "42"))  # classes of errors that a statement has by itself: no server says otherwise
 ROLES = {"master": Role.PRIMARY, "replica": Role.REPLICA}
 PROBE = "SHOW gauges"
-ORIGIN = "clock"
-_MILLIS = re.compile(r"[0-9]{1,16}(?:\.[0-9]{1,9})?\Z", re.ASCII)
 
 
 @dataclass(slots=True)
@@ -128,10 +125,10 @@
     def _reply(self, asked: _Asked) -> Reply:
         role = ROLES.get(asked.told.get("part", ""), Role.UNKNOWN)
         commit = report = None
-        if (at := _nanoseconds(asked.told.get("caught_up_to", ""), MS)) is not None:
+        if (at := nanoseconds(asked.told.get("caught_up_to", ""), MS)) is not None:
             commit = ORIGIN, (at,)
         if "gauges" in asked.told:
-            report = read_gauges(asked.told["gauges"])
+            report = read_report(asked.told["gauges"])
         if asked.fault is not None:
             state = asked.fault.state
             if state[:2] in DEFINITE and not asked.probe:
@@ -141,7 +138,7 @@
             return Reply(status, None, role, commit, f"{state} {told}"[:60], report)
         if asked.probe:
             (column,) = pg.read_row(asked.frames[1])
-            report = read_gauges((column or b"").decode("ascii", "replace"))
+            report = read_report((column or b"").decode("ascii", "replace"))
             return Reply("ok", None, role, None, "", report)
         return Reply("ok", b"".join(frame.encode() for frame in asked.frames), role, commit, "", report)
 
@@ -153,37 +150,3 @@
     reader.text("column")
     reader.take(18, "column")
     reader.end("RowDescription")
-
-
-def _nanoseconds(text: str, unit: int) -> int | None:
-    """A number in units of ``unit`` ns, exactly; None if it is none."""
-    if not _MILLIS.match(text):
-        return None
-    try:
-        return int(Decimal(text) * unit)
-    except InvalidOperation:
-        return None
-
-
-def read_gauges(text: str) -> Position | None:
-    """A load report, ``name=number`` with commas between; None if it cannot be read.
-
-    Of its fields the decision module uses the position (``x0``, in seconds), the role (``x1``, 1 for a primary) and
-    how busy the cores are (``utilization``).
-    """
-    held: dict[str, str] = {}
-    for part in text.split(","):
-        name, equals, value = part.strip().partition("=")
-        if not equals or not name or name in held:
-            return None
-        try:
-            float(value)
-        except ValueError:
-            return None
-        held[name] = value
-    at = _nanoseconds(held["x0"], 1000 * MS) if "x0" in held else None
-    if "x0" in held and at is None:
-        return None
-    primary = float(held["x1"]) == 1 if "x1" in held else None
-    load = float(held["utilization"]) if "utilization" in held else None
-    return Position({} if at is None else {ORIGIN: (at,)}, primary, load)
