Load reports are read by the fields that the settings name, and a spoilt field spoils no more than itself

Need: platform/server.py looked for x0, x1 and utilization whatever reporting.names said, dropped a whole report for one unreadable field, and let 'utilization=nan', 'inf', '1e400', '-0.2' and '61' through to the module as loads, as float() takes them (the lines 'try: float(value)' and 'load = float(held[...])' of read_gauges). Change: Settings.report_fields, read from reporting.names (a name that is no string is a fault of the settings), goes to PlatformBackend, ServerConnection and ServerSession. Fields beside the named ones are skipped, one that is missing is not known, without a list it is as before. A field that is no number, none of its kind or there twice is missing by itself; a role goes with its position. What servers send spoilt is logged as server_answer_spoilt with the server and the field, at most one line a second, with the count.

--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -2,12 +2,12 @@
 
 import socket
 
-from twisted.internet.testing import StringTransport
+from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from tests.platform_kit import AUTHENTICATED, KINDS, READ, READY, row
-from yardbank.gateway.api import MS
+from tests.platform_kit import AUTHENTICATED, KINDS, READ, READY, Log, parameter, row
+from yardbank.gateway.api import MS, SECOND, ServerSpec
 from yardbank.pg import messages as pg
-from yardbank.platform.backend import Operation, ServerConnection
+from yardbank.platform.backend import Operation, PlatformBackend, ServerConnection
 from yardbank.platform.statement import read_statement
 
 
@@ -95,3 +95,27 @@
     pair.connection.probe(got.append)
     pair.connection.dataReceived(pg.error("57P03", "starting").encode() + READY)
     assert got[0].primary and got[1].marks == {} and got[2] is None
+
+
+def test_what_servers_send_spoilt_is_one_line_a_second_with_their_count():
+    reactor, log, now = MemoryReactorClock(), Log(), [0]
+    backend = PlatformBackend(reactor, lambda: now[0], ("util",), log)
+
+    def spoil(at, gauges):
+        now[0] = at
+        backend.connect(ServerSpec("s-1", "2", "a", "h", 1), lambda _: None, lambda _: None)
+        server, wire = reactor.tcpClients[-1][2].buildProtocol(None), StringTransport()
+        wire.setTcpNoDelay = lambda on: None
+        server.makeConnection(wire)
+        server.dataReceived(AUTHENTICATED)
+        server.submit(Operation(read_statement(READ, KINDS), at + 400 * MS), Pair())
+        server.dataReceived(row() + parameter("gauges", gauges) + READY)
+
+    spoil(0, "utilization=0.5")  # a field that the settings do not name is nobody's
+    spoil(1, "util=nan")
+    spoil(SECOND, "util=soon")
+    spoil(SECOND + 1, "util")
+    assert log.lines == [
+        ("server_answer_spoilt", {"server": "s-1", "problem": "load report in gauges: util", "spoilt": number})
+        for number in (1, 3)
+    ]
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -12,7 +12,24 @@
 import pytest
 from twisted.internet.testing import StringTransport
 
-from tests.platform_kit import CONFIG, ENTRY, ENV, HEAD, START, chunk, connected, query, service, serving
+from tests.platform_kit import (
+    AUTHENTICATED,
+    CONFIG,
+    ENTRY,
+    ENV,
+    HEAD,
+    READY,
+    START,
+    WRITE,
+    chunk,
+    connected,
+    parameter,
+    query,
+    row,
+    service,
+    serving,
+)
+from yardbank.gateway.api import SECOND
 from yardbank.platform.client import EMPTY
 from yardbank.platform.config import (
     needs_restart,
@@ -47,6 +64,29 @@
     assert needs_restart(held, read_config(orjson.dumps(other))) == ["limits.sockets", "settings"]
 
 
+SLOW = [{**kind, "aim": SECOND, "hard_limit": 2 * SECOND} for kind in ENV["services"]]
+
+
+def test_reports_are_read_by_the_settings_names_and_what_is_spoilt_in_them_is_one_line(tmp_path):
+    settings = {**ENV, "services": SLOW, "reporting": {"names": ["util", "x0"], "via": "piggyback"}}
+    made, reactor, log, _ = service(tmp_path, settings=settings)
+    client, transport = made.factory.buildProtocol(None), StringTransport()
+    transport.setTcpNoDelay = lambda on: None
+    client.makeConnection(transport)
+    client.dataReceived(START)
+    client.dataReceived(query(WRITE.replace("cluster=2", "cluster=3")))
+    host, port, factory, _, _ = reactor.tcpClients[-1]
+    server, wire = factory.buildProtocol(None), StringTransport()
+    wire.setTcpNoDelay = lambda on: None
+    server.makeConnection(wire)
+    assert (host, port) == ("127.0.0.1", 6432)
+    server.dataReceived(AUTHENTICATED)
+    server.dataReceived(row(tag="INSERT 0 1") + parameter("gauges", "x0=1,util=61") + READY)
+    assert transport.value().endswith(row(tag="INSERT 0 1") + READY)  # the answer stands
+    spoilt = [facts for event, facts in log.lines if event == "server_answer_spoilt"]
+    assert spoilt == [{"server": "s-1", "problem": "load report in gauges: util", "spoilt": 1}]
+
+
 def test_a_stop_serves_on_for_a_moment_and_ends_when_the_last_client_has_its_last_word(tmp_path):
     made, reactor, _, _ = service(tmp_path)
     client, transport = made.factory.buildProtocol(None), StringTransport()
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from tests.platform_kit import AUTHENTICATED, DESCRIPTION, READ, READY, START, parameter, query, row
-from yardbank.gateway.api import MS, SECOND
+from yardbank.gateway.api import MS, SECOND, Position
 from yardbank.gateway.positions import ClockPositions
 from yardbank.interface import Report, Role
 from yardbank.pg import messages as pg
@@ -120,20 +120,81 @@
 
 
 def test_gauges_are_exact_or_nothing():
-    report = read_report("inflight=7,x0=1767225600.123,x1=1,util=0.61")
+    report = read_report("inflight=7,x0=1767225600.123,x1=1,util=0.61").position
     assert dict(report.marks) == {"clock": (1767225600_123_000_000,)} and report.primary is True
-    assert read_report("util=0.61").marks == {} and read_report("util=0.61").primary is None
+    assert read_report("util=0.61").position == Position({})
     for broken in ("", "x0", "x0=", "x0=soon", "x0=1,x0=2", "=3", "x0=-4", "x0=1e12", "x0=nan"):
-        assert read_report(broken) is None
+        assert read_report(broken).position is None and read_report(broken).spoilt
+
+
+CLOCK = 1767225600_123_000_000
+
+
+@pytest.mark.parametrize(
+    ("text", "marks", "primary", "load", "spoilt"),
+    [
+        ("x0=1767225600.123,x1=1,utilization=0.61", CLOCK, True, 0.61, ()),
+        ("utilization=1.07 , x1=0.0, x0=1767225600.123", CLOCK, False, 1.07, ()),
+        ("x0=1767225600.123,x1=1,utilization=nan", CLOCK, True, None, ("utilization",)),
+        ("x0=1767225600.123,x1=1,utilization=inf", CLOCK, True, None, ("utilization",)),
+        ("x0=1767225600.123,x1=1,utilization=-inf", CLOCK, True, None, ("utilization",)),
+        ("x0=1767225600.123,x1=1,utilization=1e400", CLOCK, True, None, ("utilization",)),
+        ("x0=1767225600.123,x1=1,utilization=-0.2", CLOCK, True, None, ("utilization",)),
+        ("x0=1767225600.123,x1=1,utilization=61", CLOCK, True, None, ("utilization",)),
+        ("x0=1767225600.123,x1=1,utilization=1_0", CLOCK, True, None, ("utilization",)),
+        ("x0=1767225600.123,x1=1,utilization=6.1e-05", CLOCK, True, 6.1e-05, ()),
+        ("x0=1767225600.123,x1=1,utilization", CLOCK, True, None, ("utilization",)),
+        ("x0=1767225600.123,x1=0.5,utilization=0.5", CLOCK, None, 0.5, ("x1",)),
+        ("x0=soon,x1=1,utilization=0.5", None, None, 0.5, ("x0",)),  # a role without its time is none
+        ("x0=1,x1=1,utilization=0.5,x0=2", None, None, 0.5, ("x0",)),
+        ("x0=1767225600.123,\0\xff,x1=1", CLOCK, True, None, ("\0\xff",)),
+        ("x1=1", None, True, None, ()),
+        ("throughput=3,utilization=0.25", None, None, 0.25, ()),
+    ],
+)
+def test_a_spoilt_field_of_a_load_report_spoils_no_more_than_it_must(text, marks, primary, load, spoilt):
+    report = read_report(text)
+    assert report.position == Position({"clock": (marks,)} if marks else {}, primary, load)
+    assert report.spoilt == spoilt
+
+
+def test_a_load_report_is_read_by_the_fields_that_the_settings_name():
+    full = "x0=1767225600.123,x1=1,utilization=0.61,util=0.33,outstanding=7"
+    for fields, position in (
+        (("x0", "x1", "utilization"), Position({"clock": (CLOCK,)}, True, 0.61)),
+        (("util", "x1", "inflight", "x0"), Position({"clock": (CLOCK,)}, True, 0.33)),
+        (("outstanding", "x0"), Position({"clock": (CLOCK,)})),
+        (("x1",), Position({}, True)),
+        ((), Position({})),
+    ):
+        assert read_report(full, fields).position == position
+    assert read_report("x0=soon,utilization=0.61", ("utilization",)).position == Position({}, None, 0.61)
+    assert read_report("," * 5000).position is None
+
+
+def test_a_session_reads_reports_by_the_settings_and_tells_what_is_spoilt():
+    told = []
+    session = ServerSession(("x0", "util"), told.append)
+    session.receive(AUTHENTICATED)
+    for gauges, load in (("x0=2,util=0.5,utilization=0.9", 0.5), ("x0=2,util=nan", None), ("x0=2", None)):
+        session.ask(READ)
+        reply = session.receive(row() + parameter("gauges", gauges) + READY)
+        assert reply.status == "ok" and reply.report == Position({"clock": (2 * SECOND,)}, None, load)
+    session.ask("SHOW gauges", probe=True)
+    assert session.receive(row(b"util=0.4,x0=\xff", "SHOW") + READY).report == Position({}, None, 0.4)
+    session.ask(READ)
+    assert session.receive(b"\xff" * 40) is None
+    assert told[:2] == ["load report in gauges: util", "load report in the row: x0"]
+    assert len(told) == 3 and told[2] == session.broken
 
 
 def test_positions_are_times_and_nothing_is_kept_of_servers_that_left():
     positions = ClockPositions()
     positions.listed(1, 0, True, 0)
     assert positions.committed(1, ("clock", (77,)), 5) == 77 and positions.reference(1) is None
-    reported = read_report("x0=2,x1=0")
+    reported = read_report("x0=2,x1=0").position
     positions.told(1, reported, 9)
     assert positions.report(1, reported, 9) == Report(2 * SECOND, False)
-    assert positions.report(1, read_report("util=1"), 9) == Report(None, None)
+    assert positions.report(1, read_report("util=1").position, 9) == Report(None, None)
     positions.dropped(1)
     assert positions.marks(1) == {}
--- a/yardbank/interface/settings.py
+++ b/yardbank/interface/settings.py
@@ -54,6 +54,7 @@
     tells_position: bool = False  # every answer carries a position
     reports: str = "none"  # answers | probe | none
     tells_load: bool = False  # reports say how busy a server's cores are
+    report_fields: tuple[str, ...] | None = None  # what reports hold, by the wire's names; None: not said
     period: int = 1_000_000  # least time between two batches
     max_attempts: int = 1
     may_cancel: bool = False
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from typing import Any
 
@@ -11,11 +11,13 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from yardbank.gateway.api import BROKE_OPENING, Connection, Position, Receiver, Reply, ServerSpec
+from yardbank.gateway.api import BROKE_OPENING, SECOND, Connection, Position, Receiver, Reply, ServerSpec
 from yardbank.gateway.dial import dial
 from yardbank.platform.server import PROBE, ServerSession
 from yardbank.platform.statement import Statement
 
+LOG_EVERY = SECOND  # of what a server can cause at will
+
 
 @dataclass(slots=True)
 class Operation:
@@ -32,10 +34,14 @@
     transport: Any  # Twisted's stubs name no methods of a TCP transport
 
     def __init__(
-        self, now: Callable[[], int], ready: Callable[[Connection], None], lost: Callable[[str], None]
+        self,
+        now: Callable[[], int],
+        ready: Callable[[Connection], None],
+        lost: Callable[[str], None],
+        session: ServerSession | None = None,
     ) -> None:
         self._now, self._ready, self._lost = now, ready, lost
-        self._session = ServerSession()
+        self._session = session or ServerSession()
         self._receiver: Receiver | None = None
         self._probed: Callable[[Position | None], None] | None = None
         self._over = self._spent = False
@@ -132,16 +138,30 @@
 
 
 class PlatformBackend:
-    """Reaches the platform's servers; a ``gateway.api.Backend``."""
+    """Reaches the platform's servers; a ``gateway.api.Backend``.
+
+    ``fields``: what load reports hold, as the settings name it. ``log``: told of what servers send spoilt, at most
+    once a second.
+    """
 
-    def __init__(self, reactor: Any, now: Callable[[], int]) -> None:
-        self._reactor, self._now = reactor, now
+    def __init__(
+        self, reactor: Any, now: Callable[[], int], fields: Collection[str] | None = None, log: Any = None
+    ) -> None:
+        self._reactor, self._now, self._fields, self._log = reactor, now, fields, log
+        self._spoilt, self._spoilt_logged_at = 0, -LOG_EVERY
 
     def connect(
         self, server: ServerSpec, ready: Callable[[Connection], None], lost: Callable[[str], None]
     ) -> Callable[[], None]:
         """Open a connection; see ``gateway.api.Backend``."""
-        return dial(self._reactor, server, lambda once: ServerConnection(self._now, ready, once), lost)
+        session = ServerSession(self._fields, lambda what: self._answer_spoilt(server.name, what))
+        return dial(self._reactor, server, lambda once: ServerConnection(self._now, ready, once, session), lost)
+
+    def _answer_spoilt(self, server: str, what: str) -> None:
+        self._spoilt += 1
+        if self._log is not None and (now := self._now()) - self._spoilt_logged_at >= LOG_EVERY:
+            self._spoilt_logged_at = now
+            self._log.warning("server_answer_spoilt", server=server, problem=what[:200], spoilt=self._spoilt)
 
     def describe(self, operation: Operation) -> str:
         """The class and what it is about."""
--- a/yardbank/platform/server.py
+++ b/yardbank/platform/server.py
@@ -6,14 +6,15 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
-from yardbank.gateway.api import MS, Reply
+from yardbank.gateway.api import MS, Position, Reply
 from yardbank.interface import Role
 from yardbank.pg import messages as pg
 from yardbank.pg.state import Answer, Broken, ClientEnd, Idle, Opened
 from yardbank.pg.wire import Frame, Reader, WireError
-from yardbank.platform.report import ORIGIN, nanoseconds, read_report
+from yardbank.platform.report import ORIGIN, UNSAID, nanoseconds, read_report
 
 MAX_MESSAGE = 1 << 20  # answers of several hundred KiB were seen; what is said to be longer is taken for spoilt
 MAX_STATUS = 64  # parameters told along with one answer
@@ -39,7 +40,11 @@
 class ServerSession:
     """What one connection is about. Output is taken by ``take_output``; ``receive`` brings at most one reply."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, fields: Collection[str] | None = None, spoilt: Callable[[str], None] = lambda what: None
+    ) -> None:
+        """``fields``: what load reports hold, as the settings say (None: not said); ``spoilt``: told of faults."""
+        self._fields, self._spoilt = UNSAID if fields is None else fields, spoilt
         self._end = ClientEnd("backend", "store", "", "", MAX_MESSAGE)
         self._asked: _Asked | None = None
         self.open = False
@@ -82,6 +87,8 @@
             self.broken = self.broken or str(problem)
         if reply is not None and self._end.waiting:
             self.broken = self.broken or "more than was asked for"
+        if self.broken and self.open:  # else it was turned away, in good form
+            self._spoilt(self.broken)
         return reply
 
     def ended(self) -> Reply | None:
@@ -128,7 +135,7 @@
         if (at := nanoseconds(asked.told.get("caught_up_to", ""), MS)) is not None:
             commit = ORIGIN, (at,)
         if "gauges" in asked.told:
-            report = read_report(asked.told["gauges"])
+            report = self._report("gauges", asked.told["gauges"])
         if asked.fault is not None:
             state = asked.fault.state
             if state[:2] in DEFINITE and not asked.probe:
@@ -138,10 +145,17 @@
             return Reply(status, None, role, commit, f"{state} {told}"[:60], report)
         if asked.probe:
             (column,) = pg.read_row(asked.frames[1])
-            report = read_report((column or b"").decode("ascii", "replace"))
+            report = self._report("the row", (column or b"").decode("ascii", "replace"))
             return Reply("ok", None, role, None, "", report)
         return Reply("ok", b"".join(frame.encode() for frame in asked.frames), role, commit, "", report)
 
+    def _report(self, where: str, text: str) -> Position | None:
+        """A load report; what is spoilt in it is told."""
+        report = read_report(text, self._fields)
+        if report.spoilt:
+            self._spoilt(f"load report in {where}: {', '.join(report.spoilt)}"[:200])
+        return report.position
+
 
 def _check_description(frame: Frame) -> None:
     reader = Reader(frame.body)
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -51,7 +51,7 @@
             stop_grace=max(kind.deadline for kind in settings.classes),
         )
         seconds = wall_seconds()
-        backend = PlatformBackend(reactor, lambda: self.gateway.now())
+        backend = PlatformBackend(reactor, lambda: self.gateway.now(), settings.report_fields, log)
         self.gateway = Gateway(
             settings,
             backend,
--- a/yardbank/wire.py
+++ b/yardbank/wire.py
@@ -12,6 +12,7 @@
 REPORTS = {"piggyback": "answers", "pull": "probe", "silent": "none"}
 TOKENS = {"brought": "carried", "kept": "remembered"}
 STATES = {"live": "ready", "quiescing": "draining", "dead": "gone"}
+LOAD_FIELDS = ("utilization", "util")  # how busy the cores are, as the wire and as the sites call it
 NUMBER = (int, float)
 MISSING = object()
 
@@ -48,6 +49,10 @@
     rules = field(env, "rules", dict, {})
     bounds, reads = field(domain, "lag_allowed", list, []), field(domain, "class_read", list)
     services = field(env, "services", list)
+    reporting = field(env, "reporting", dict, {})
+    names = field(reporting, "names", list, None)
+    if not all(isinstance(name, str) for name in names or ()):
+        raise WireError("field 'names' of 'reporting' has the wrong type")
     if len(reads) < len(services):
         raise WireError("field 'class_read' names too few classes")
     classes = []
@@ -76,8 +81,9 @@
         patience=field(domain, "patience", int, 0),
         tokens=word(domain, "session_marks", TOKENS, "kept"),
         tells_position=field(domain, "tells_position", bool, False),
-        reports=word(field(env, "reporting", dict, {}), "via", REPORTS, "silent"),
-        tells_load="utilization" in field(field(env, "reporting", dict, {}), "names", list, []),
+        reports=word(reporting, "via", REPORTS, "silent"),
+        tells_load=any(name in LOAD_FIELDS for name in names or ()),
+        report_fields=None if names is None else tuple(names),
         period=field(env, "period", int, 1_000_000),
         max_attempts=field(limits, "max_attempts", int, 1),
         may_cancel=field(limits, "cancel", bool, False),
