--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -28,7 +28,7 @@
     """Takes reads and never answers them."""
 
     def handle(self, now, event):
-        if isinstance(event, api.Request) and event.class_name == "route-lookup":
+        if isinstance(event, api.Request) and event.class_name == "number-lookup":
             return []
         return super().handle(now, event)
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -151,7 +151,7 @@
     assert all(rule["held"] and rule["judged"] > 0 for rule in found["rules"].values())
     assert found["answers"]["served"] > 100
     rows = {row["class"]: row for row in found["classes"]}
-    assert rows["request-status"]["from_copies"] > 0 and rows["route-lookup"]["from_copies"] > 0
+    assert rows["request-state"]["from_copies"] > 0 and rows["number-lookup"]["from_copies"] > 0
     assert sum(row["served"] for row in rows.values()) == found["answers"]["served"]
     assert "By class" in done.stdout and "reads from copies" in done.stdout
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -446,7 +446,7 @@
         until(lambda: place.proxy.gateway.list_version == 2)
         assert desk.read("numbers", "bounded", staleness=0.8).code == 0
         taken = [f["request_class"] for f in place.record.facts if f["kind"] == "gateway_taken"]
-        assert taken == ["route-lookup", "strict-read"]
+        assert taken == ["number-lookup", "strict-read"]
         (folder / "classes.hcl").write_text(CLASSES.replace("1500ms", "1700ms"))
         until(lambda: place.proxy._fleet.membership._judged != place.proxy._fleet.membership.current.digest)
         assert place.proxy.gateway.list_version == 2
--- a/yardbank/lab/day.py
+++ b/yardbank/lab/day.py
@@ -16,7 +16,7 @@
 from yardbank.standin.server import TAG_CONTROL
 
 ENTRIES = 50
-CLASSES = {"bounded": "route-lookup", "session": "request-status", "write": "port-commit", "spread": "spread"}
+CLASSES = {"bounded": "number-lookup", "session": "request-state", "write": "number-change", "spread": "spread"}
 DEADLINES = {"bounded": 1.5, "session": 2.0, "write": 3.0}
 
 
--- a/yardbank/lab/world.py
+++ b/yardbank/lab/world.py
@@ -35,7 +35,7 @@
 }
 
 CLASSES = """
-class "route-lookup" {
+class "number-lookup" {
   effect    = "safe"
   read      = "bounded"
   staleness = "800ms"
@@ -48,7 +48,7 @@
   }
 }
 
-class "request-status" {
+class "request-state" {
   effect     = "safe"
   read       = "session"
   aim        = "750ms"
@@ -60,7 +60,7 @@
   }
 }
 
-class "port-commit" {
+class "number-change" {
   effect     = "unsafe"
   read       = "write"
   aim        = "500ms"
