Settings that no gateway can serve by are refused at the start with one line and exit 2

A negative window, late_worth, max_retry_after or memory, a class without a name and a retry_after that is no boolean were taken. Change: Settings and RequestClass bound each time, worth and name; config.py idle_close and memory_mb; retry_after is read as a boolean. The known list is part of the configuration: spoilt at the start it ends with exit 2, as before. tests/test_settings_spoilt.py: 19 odd values in each of the configuration's places are refused in one line naming the place, or served by; 19 spoilt files end the real program with exit 2 and one line; at a reload each is one line (reload_rejected), a client is served after each, and the next good file is taken.

--- /dev/null
+++ b/tests/test_settings_spoilt.py
@@ -0,0 +1,137 @@
+"""A spoilt configuration: at the start one plain line and exit 2, at a reload one line, and the last good one serves on."""
+
+import copy
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import orjson
+import pytest
+
+from tests.platform_kit import CONFIG, ENTRY, START, Log, Reactor, query, serving
+from yardbank.gateway.api import SECOND
+from yardbank.platform.client import EMPTY
+from yardbank.platform.config import PlatformError, read_config
+from yardbank.platform.service import Service
+
+SERVICES = [
+    {"name": "look", "aim": SECOND, "hard_limit": 2 * SECOND, "credit": 1.0, "late_worth": 0.0, "effect": "pure",
+     "key_scope": "all", "window": 0},
+    {"name": "book", "aim": SECOND, "hard_limit": 2 * SECOND, "effect": "token", "key_scope": "cell", "window": SECOND},
+]  # fmt: skip
+FULL = {
+    "name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "5",
+    "limits": {"memory_mb": 64, "sockets": 256},
+    "settings": {
+        "zone": "a", "fleet_size": 3, "period": 1_000_000, "registry_mode": "automatic", "services": SERVICES,
+        "domain": {"checks": "bounce", "class_read": ["lag_bound", "mutate"], "lag_allowed": [800_000_000, 0], "patience": 0,
+                   "session_marks": "brought", "tells_position": False},
+        "ceilings": {"idle_close": 10 * SECOND, "max_attempts": 3, "cancel": True, "probes": True, "connect_timeout": 10**8,
+                     "retry_after": True, "max_retry_after": SECOND},
+        "rules": {"cold": SECOND, "start_capacity": 0.3, "dropped_stay_open": False},
+        "reporting": {"via": "pull", "names": ["x0"]},
+    },
+    "known": {"generation": 1, "reset": True, "instances": [ENTRY]},
+}  # fmt: skip
+ODD = (b"null", b"-1", b"0", b"1.5", b"true", b'"x"', b'""', b"[]", b"{}", b"NaN", b"Infinity", b"1e999", b"1e300", b"-1e300",
+       b"1" + b"0" * 30, b"9" * 400, b"[1]", b"[null]", b'{"a":1}')  # fmt: skip
+
+
+def paths(told, where=()):
+    if where:
+        yield where
+    for name, held in told.items() if isinstance(told, dict) else enumerate(told) if isinstance(told, list) else ():
+        yield from paths(held, (*where, name))
+
+
+def spoilt(where, octets, told=FULL):
+    """The document with other octets in one place."""
+    document = copy.deepcopy(told)
+    place = document
+    for name in where[:-1]:
+        place = place[name]
+    place[where[-1]] = "@@"
+    return orjson.dumps(document).replace(b'"@@"', octets)
+
+
+@pytest.mark.parametrize("where", list(paths(FULL)), ids=lambda where: ".".join(map(str, where)))
+def test_any_value_in_any_place_is_taken_or_refused_in_one_line_that_names_it(where):
+    named = {str(name) for name in where} | {"JSON", *{"credit": ("worth",), "hard_limit": ("deadline",), "fleet_size": ("gateways",),
+        "key_scope": ("scope",), "start_capacity": ("cold_share",), "lag_allowed": ("staleness_bound",), "services": ("classes",),
+    }.get(str(where[-1]), ()), *(("staleness_bound",) if "lag_allowed" in where else ())}  # fmt: skip
+    for octets in ODD:
+        try:
+            config = read_config(spoilt(where, octets))
+        except PlatformError as problem:
+            assert "\n" not in str(problem) and any(name in str(problem) for name in named), (octets, str(problem))
+            continue
+        made = Service(config, Reactor(), Log())  # what is taken can be served by
+        made.start()
+
+
+BAD = {
+    "no JSON": (b"{", "not JSON"),
+    "NaN": (spoilt(("settings", "services", 0, "credit"), b"NaN"), "not JSON"),
+    "no object": (b"[1]", "object"),
+    "settings no object": (spoilt(("settings",), b"[1]"), "settings"),
+    "wrong type": (spoilt(("settings", "services", 1, "aim"), b'"soon"'), "aim"),
+    "negative aim": (spoilt(("settings", "services", 1, "aim"), b"-1"), "classes[book].aim"),
+    "negative window": (spoilt(("settings", "services", 1, "window"), b"-1"), "classes[book].window"),
+    "no classes": (spoilt(("settings", "services"), b"[]"), "classes"),
+    "a class twice": (spoilt(("settings", "services", 1, "name"), b'"look"'), "distinct names"),
+    "a class without a name": (spoilt(("settings", "services", 1, "name"), b'""'), "names"),
+    "unknown effect": (spoilt(("settings", "services", 1, "effect"), b'"fatal"'), "effect"),
+    "unknown read": (spoilt(("settings", "domain", "class_read", 0), b'"eager"'), "class_read"),
+    "no time to connect": (spoilt(("settings", "ceilings", "connect_timeout"), b"0"), "connect_timeout"),
+    "negative idle time": (spoilt(("settings", "ceilings", "idle_close"), b"-1"), "idle_close"),
+    "retry-after no yes or no": (spoilt(("settings", "ceilings", "retry_after"), b'"no"'), "retry_after"),
+    "a time beyond all": (spoilt(("settings", "services", 0, "aim"), b"9" * 400), "classes[look].aim"),
+    "too few sockets": (spoilt(("limits", "sockets"), b"8"), "limits.sockets"),
+    "memory no number": (spoilt(("limits", "memory_mb"), b'"much"'), "limits.memory_mb"),
+    "a known list": (spoilt(("known", "instances", 0, "hostPort"), b'"h"'), "known: instances[0].hostPort"),
+}
+
+
+@pytest.mark.parametrize("bad", BAD)
+def test_the_program_refuses_to_start_with_exit_2_and_one_plain_line(tmp_path, bad):
+    octets, name = BAD[bad]
+    file = tmp_path / "config.json"
+    file.write_bytes(octets)
+    ended = subprocess.run(
+        [sys.executable, "-m", "yardbank.platform"], env={**os.environ, "NODE_CONFIG": str(file)}, capture_output=True,
+        timeout=60, check=False,
+    )  # fmt: skip
+    (line,) = ended.stderr.decode().splitlines()
+    assert ended.returncode == 2 and line.startswith(f"yardbank: {file}: ") and name in line
+
+
+def test_a_spoilt_configuration_at_a_reload_is_one_line_and_the_last_good_one_serves_on(tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as discovery, socket.create_server(("127.0.0.1", 0)) as other:
+        discovery.settimeout(30)
+        other.settimeout(30)
+        process, port, _, file = serving(tmp_path, discovery.getsockname()[1])
+        try:
+            watch, _ = discovery.accept()
+            for octets, name in BAD.values():
+                file.write_bytes(octets)
+                process.send_signal(signal.SIGHUP)
+                told = json.loads(next(line for line in process.stderr if b'"reload' in line))
+                assert told["event"] == "reload_rejected" and name in told["problem"] and str(file) in told["problem"]
+                with socket.create_connection(("127.0.0.1", port), 30) as client:
+                    client.sendall(START + query(""))
+                    got = b""
+                    while not got.endswith(EMPTY):
+                        got += client.recv(1000)
+            moved = {**CONFIG, "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{other.getsockname()[1]}"}
+            file.write_bytes(orjson.dumps(moved))
+            process.send_signal(signal.SIGHUP)
+            other.accept()[0].close()  # the next good one is taken
+            watch.close()
+            assert process.poll() is None
+        finally:
+            process.kill()
+            process.wait()
+            process.stderr.close()
--- a/yardbank/interface/settings.py
+++ b/yardbank/interface/settings.py
@@ -5,6 +5,10 @@
 from dataclasses import dataclass
 from enum import IntEnum
 
+LONGEST = 1 << 62  # ns, 146 years: no time of a deployment is longer, and reckoning with it stays exact enough
+
+MOST_WORTH = 1e12
+
 
 class Role(IntEnum):
     """What a server said of itself."""
@@ -30,12 +34,18 @@
     staleness_bound: int = 0  # for bounded reads
 
     def __post_init__(self) -> None:
-        require(self.aim > 0, f"classes[{self.name}].aim must be positive")
-        require(self.deadline > 0, f"classes[{self.name}].deadline must be positive")
+        require(self.name != "", "classes must have names")
+        require(0 < self.aim < LONGEST, f"classes[{self.name}].aim must be positive and under 146 years")
+        require(0 < self.deadline < LONGEST, f"classes[{self.name}].deadline must be positive and under 146 years")
+        require(0 <= self.window < LONGEST, f"classes[{self.name}].window must not be negative, nor 146 years")
         require(self.effect in ("safe", "keyed", "unsafe"), f"classes[{self.name}].effect: {self.effect!r}")
         require(self.scope in ("all", "zone", "cell"), f"classes[{self.name}].scope: {self.scope!r}")
-        require(self.worth >= 0, f"classes[{self.name}].worth must not be negative")
-        require(self.staleness_bound >= 0, f"classes[{self.name}].staleness_bound must not be negative")
+        require(0 <= self.worth <= MOST_WORTH, f"classes[{self.name}].worth must not be negative, nor beyond 1e12")
+        require(
+            0 <= self.late_worth <= MOST_WORTH, f"classes[{self.name}].late_worth must not be negative, nor beyond 1e12"
+        )
+        bound = self.staleness_bound
+        require(0 <= bound < LONGEST, f"classes[{self.name}].staleness_bound must not be negative, nor 146 years")
         reads = ("any", "bounded", "session", "fresh", "write")
         require(self.read in reads, f"classes[{self.name}].read: {self.read!r}")
 
@@ -73,10 +83,12 @@
         require(self.reports in ("answers", "probe", "none"), f"reports: {self.reports!r}")
         require(len(self.classes) > 0, "classes must name at least one class")
         require(len({c.name for c in self.classes}) == len(self.classes), "classes must have distinct names")
-        require(self.period > 0, "period must be positive")
+        require(0 < self.period < LONGEST, "period must be positive and under 146 years")
         require(self.max_attempts > 0, "max_attempts must be positive")
-        require(self.cold >= 0, "cold must not be negative")
-        require(self.patience >= 0, "patience must not be negative")
+        require(0 <= self.cold < LONGEST, "cold must not be negative, nor 146 years")
+        require(0 <= self.patience < LONGEST, "patience must not be negative, nor 146 years")
+        require(0 < self.connect_timeout < LONGEST, "connect_timeout must be positive and under 146 years")
+        require(0 <= self.max_retry_after < LONGEST, "max_retry_after must not be negative, nor 146 years")
         require(0 < self.cold_share <= 1, "cold_share must be above 0 and at most 1")
 
 
--- a/yardbank/platform/config.py
+++ b/yardbank/platform/config.py
@@ -11,6 +11,7 @@
 
 from yardbank.gateway.api import ServerSpec
 from yardbank.interface import Settings
+from yardbank.interface.settings import LONGEST
 from yardbank.platform.listing import Listing, ListingError, parse_listing, read_port, told_where
 from yardbank.wire import WireError, read_settings
 
@@ -104,6 +105,12 @@
     sockets = 1024 if limits.sockets is None else limits.sockets
     if sockets < 64:
         raise PlatformError(f"limits.sockets: {sockets} is too few")
+    memory = 128 if limits.memory_mb is None else limits.memory_mb
+    if not 1 <= memory < LONGEST:
+        raise PlatformError(f"limits.memory_mb: {memory!r} is no size")
+    idle_close = ceilings.idle_close or MAX_SECONDS_BETWEEN * 10**9
+    if not 0 < idle_close < LONGEST:
+        raise PlatformError(f"settings.ceilings.idle_close: {idle_close} must not be negative, nor 146 years")
     try:
         known = Listing(0, True, {}) if bytes(told.known) == bytes(_NULL) else parse_listing(told.known)
     except ListingError as problem:
@@ -119,8 +126,8 @@
         settings=settings,
         known=known,
         sockets=sockets,
-        memory_mb=128 if limits.memory_mb is None else int(limits.memory_mb),
-        idle_close=ceilings.idle_close or MAX_SECONDS_BETWEEN * 10**9,
+        memory_mb=int(memory),
+        idle_close=idle_close,
     )
 
 
--- a/yardbank/wire.py
+++ b/yardbank/wire.py
@@ -89,7 +89,7 @@
         may_cancel=field(limits, "cancel", bool, False),
         may_probe=field(limits, "probes", bool, False),
         connect_timeout=field(limits, "connect_timeout", int, 250_000_000),
-        max_retry_after=field(limits, "max_retry_after", int, 0) if limits.get("retry_after") else 0,
+        max_retry_after=field(limits, "max_retry_after", int, 0) if field(limits, "retry_after", bool, False) else 0,
         subscribe=field(env, "registry_mode", str, "automatic") == "subscribe",
         cold=field(rules, "cold", int, 0),
         cold_share=field(rules, "start_capacity", NUMBER, 1.0),
