A class is named in statements as the settings name it; a fault names its part of the statement

Need: the protocol says that c names the class as the settings do, and statement.py took only names without blanks, =, /, ', \ and *: a class called 'a=b' or 'read/any' could never be asked for, and nobody was told. Every fault outside the fields was 'not a statement of the form that is served here'. Change: after c= all is taken that does not end it there; what the settings do not name is refused as before, other fields are as strict as before. A class whose name still cannot be held (a comma, */, control characters, a blank at the end, over 128 characters) is one line at the start, class_out_of_reach, and the others are served: to refuse the start would be an outage of all of them. The comment's parts are matched atomically, so that parts with two readings cannot multiply. Faults say whether the comment or what is behind it is at fault. Taken out: with the old form 2 tests of tests/test_platform_statements.py fail, without the line the new test of tests/test_platform_program.py. The drawn settings' names hold the new characters as well, and every action stays equal.

--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -87,6 +87,14 @@
     assert spoilt == [{"server": "s-1", "problem": "load report in gauges: util", "spoilt": 1}]
 
 
+def test_a_class_that_no_statement_can_name_is_one_line_at_the_start_and_the_others_are_served(tmp_path):
+    odd = {**SLOW[0], "name": "look,up"}
+    domain = {**ENV["domain"], "class_read": ["lag_bound", "mutate", "eventual"]}
+    made, _, log, _ = service(tmp_path, settings={**ENV, "services": [*SLOW, odd], "domain": domain})
+    told = [facts for event, facts in log.lines if event == "class_out_of_reach"]
+    assert [facts["request_class"] for facts in told] == ["look,up"] and set(made.factory.kinds) > {"lookup", "commit"}
+
+
 def test_a_stop_serves_on_for_a_moment_and_ends_when_the_last_client_has_its_last_word(tmp_path):
     made, reactor, _, _ = service(tmp_path)
     client, transport = made.factory.buildProtocol(None), StringTransport()
--- a/tests/test_platform_statements.py
+++ b/tests/test_platform_statements.py
@@ -1,13 +1,14 @@
 """The platform's statements: one strict form each, and the time limit."""
 
+from dataclasses import replace
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from tests.platform_kit import COMMIT, KINDS, LOOKUP, READ, WRITE
 from yardbank.gateway.api import MS
-from yardbank.platform.statement import StatementError, read_statement, since_write
+from yardbank.platform.statement import StatementError, out_of_reach, read_statement, since_write
 
 
 def test_a_read_and_a_write_are_understood():
@@ -61,6 +62,43 @@
     assert read_statement(WRITE.replace("9f03", "00" * (64 << 10)), KINDS).write
 
 
+@given(st.text(st.characters(exclude_categories=["Cs"]), min_size=1, max_size=140))
+@example("a=b")
+@example("a b/c'd\\e*")
+@example("*/")
+@example("a,d=1")
+@example(" a")
+@example("a ")
+@example("a\0")
+@example("x" * 128)
+@example("x" * 129)
+@settings(derandomize=True, database=None)
+def test_a_class_is_named_as_in_the_settings_or_told_to_be_out_of_reach(name):
+    kind = replace(LOOKUP, name=name)
+    kinds = {**KINDS, name: kind}
+    forms = READ.replace("c=lookup", f"c={name}"), READ.replace("c=lookup,", "").replace("cluster=2", f"cluster=2,c={name}")
+    if out_of_reach([kind]):
+        assert any(mark in name for mark in (",", "*/")) or len(name) > 128 or name[-1] == " " or not name.isprintable()
+        return
+    for form in forms:
+        statement = read_statement(form, kinds)
+        assert statement.kind is kind and statement.text(statement.time_limit) == form
+
+
+def test_a_fault_names_the_field_or_the_part():
+    for old, new, name in (
+        ("id=a1", "id=a 1", "the comment is not"), ("cluster=2", "cluster=2,,x=1", "the comment is not"),
+        ("cluster=2", "cluster=2" + ",k=1" * 16, "the comment is not"), ("FROM kv", "FROM other", "behind the comment"),
+        ("'7f3a'", "'7f3a';", "behind the comment"), ("id=a1,", "", "the comment lacks id"),
+        ("c=lookup", "c=look up", "c: no such class"), ("c=lookup", "c=lookup ", "c: no such class"),
+        ("c=lookup", "c=commit", "c: the class is not one of reads"), ("d=480", "d=0", "d: between"),
+        ("d=480", "d=-1", "d: not a number"), ("d=480", "d=86400001", "d: between"), ("cluster=2", "cluster=-2", "cluster: not"),
+        ("cluster=2", "cluster=2,after=-1", "after: not a number"), ("cluster=2", "cluster=2,id=a2", "names id twice"),
+    ):  # fmt: skip
+        with pytest.raises(StatementError, match=f"^(the comment )?{name}"):
+            read_statement(READ.replace(old, new), KINDS)
+
+
 @given(st.text(max_size=200))
 def test_any_text_is_read_or_refused(noise):
     for candidate in (noise, READ.replace("7f3a", noise), READ.replace("a1", noise)):
--- a/tests/test_settings_drawn.py
+++ b/tests/test_settings_drawn.py
@@ -11,7 +11,7 @@
 from yardbank.policy import Router
 from yardbank.policy.picking import Picking
 
-NAMED = st.text(st.sampled_from("abzAZ019_-.:;!?@#$%^&()+~|<>\"[]{}`"), min_size=1, max_size=12)
+NAMED = st.text(st.sampled_from("abzAZ019_-.:;!?@#$%^&()+~|<>=/'\\\"[]{}`"), min_size=1, max_size=12)
 READS = ("mutate", "strong", "causal", "lag_bound", "eventual")
 EFFECTS = ("pure", "token", "side_effect")
 
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -21,6 +21,7 @@
 from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
+from yardbank.platform.statement import out_of_reach
 from yardbank.platform.watch import Watcher
 
 LINGER = 600 * MS  # after SIGTERM clients still come for a moment: they are served as ever
@@ -52,6 +53,8 @@
         )
         seconds = wall_seconds()
         backend = PlatformBackend(reactor, lambda: self.gateway.now(), settings.report_fields, log)
+        for name in out_of_reach(settings.classes):
+            log.warning("class_out_of_reach", request_class=name, note="no statement's comment can hold its name")
         self.gateway = Gateway(
             settings,
             backend,
--- a/yardbank/platform/statement.py
+++ b/yardbank/platform/statement.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 from yardbank.gateway.api import MS
@@ -14,12 +14,17 @@
 
 MAX_VALUE = 64 << 10  # octets
 MAX_DEADLINE_MS = 86_400_000
-_STATEMENT = re.compile(
-    r"/\*[ ]?([A-Za-z0-9_]{1,32}=[^\s,*/='\\\x00]{1,128}(?:,[A-Za-z0-9_]{1,32}=[^\s,*/='\\\x00]{1,128}){0,15})[ ]?\*/ "
+# A class is named as in the settings, so what stands after c= may hold all that does not end it. Each part is taken
+# once and for good (atomic): one that may be read in two ways would be tried in each again, and again with the next.
+_CLASS = r"(?:(?!\*/)[^,\x00-\x1f\x7f]){1,128}?"
+_PART = rf"(?>(?:[A-Za-z0-9_]{{1,32}}=[^\s,*/='\\\x00]{{1,128}}|c={_CLASS})(?=,|[ ]?\*/))"
+_COMMENT = re.compile(rf"/\*[ ]?({_PART}(?:,{_PART}){{0,15}})[ ]?\*/ ")
+_BODY = re.compile(
     r"(?:SELECT content FROM kv WHERE name = '([^'\\\x00]{1,256})'"
     r"|INSERT INTO kv \(name, content\) VALUES \('([^'\\\x00]{1,256})', '\\x((?:[0-9A-Fa-f]{2})*)'\) RETURNING content)"
     r"\Z"
 )
+_NAME = re.compile(_CLASS + r"\Z")
 _NUMBER = re.compile(r"[0-9]{1,18}\Z", re.ASCII)
 
 
@@ -57,11 +62,14 @@
 
 def read_statement(text: str, kinds: Mapping[str, RequestClass]) -> Statement:
     """A client's query. Raises ``StatementError``."""
-    found = _STATEMENT.match(text)
+    head = _COMMENT.match(text)
+    if head is None:
+        raise StatementError("the comment is not of the form /* name=value,name=value */")
+    found = _BODY.match(text, head.end())
     if found is None:
-        raise StatementError("not a statement of the form that is served here")
+        raise StatementError("behind the comment: neither the read nor the write that is served here")
     facts: dict[str, str] = {}
-    comment, at, where = found[1], found.start(1), (0, 0)
+    comment, at, where = head[1], head.start(1), (0, 0)
     for part in comment.split(","):
         name, _, held = part.partition("=")
         if name in facts:
@@ -78,16 +86,16 @@
     limit = _number(facts, "d")
     if not 0 < limit <= MAX_DEADLINE_MS:
         raise StatementError(f"d: between 1 and {MAX_DEADLINE_MS} is allowed")
-    write = found[2] is None
+    write = found[1] is None
     if write != (kind.read == "write"):
         raise StatementError(f"c: the class is not one of {'writes' if write else 'reads'}")
-    if write and len(found[4]) > 2 * MAX_VALUE:
+    if write and len(found[3]) > 2 * MAX_VALUE:
         raise StatementError(f"content: more than {MAX_VALUE} octets")
     return Statement(
         id=number,
         kind=kind,
         group=str(_number(facts, "cluster")),
-        key=found[3] if write else found[2],
+        key=found[2] if write else found[1],
         time_limit=limit * MS,
         after=_number(facts, "after") * MS if "after" in facts else None,
         write=write,
@@ -96,6 +104,11 @@
     )
 
 
+def out_of_reach(kinds: Iterable[RequestClass]) -> list[str]:
+    """Classes of the settings that no statement can name: its comment would end in the middle of the name."""
+    return [kind.name for kind in kinds if not _NAME.match(kind.name) or kind.name != kind.name.rstrip(" ")]
+
+
 def since_write(statement: Statement, now: int) -> int | None:
     """The age (ns) of a session's last commit, as the decision module takes it: 0 would mean that there is none."""
     if statement.after is None:
