Requests of a client that has gone are not taken up, however many it left behind

Seen: a client with 32 queries queued was no longer read (client.PAUSE_AT, transport.pauseProducing in connection._advance), so its end was not seen, and each answer took up the next query of a client that had left. The same for one that does not read its answers: resumeProducing takes up what is queued, whoever is there. Forced on real TCP sockets whose reactor turns only when told: 40 and 768 pipelined requests, the client closes, half closes or resets, the first is answered before the reactor has had a turn.

Change: presence.py looks at the socket (MSG_PEEK; where unread octets may hide the end behind them, poll with POLLRDHUP, POLLHUP, POLLERR). ClientConnection.present is asked before each queued query is taken up and is handed to the gateway as Call.present. Reading goes on up to 256 queries or 256 KiB queued on a connection, a bound that is logged (client_queue_bound, once a second). Terminate takes the open request back instead of waiting for its answer.

test_many_queries_at_once... sends 300 instead of 100, as the bound at which reading pauses is 256 and no longer 32: it still sees the pause, each answer and the resumption.

--- /dev/null
+++ b/tests/test_crossings_clients.py
@@ -0,0 +1,202 @@
+"""Crossings at connections of clients, on real TCP sockets whose reactor turns only when told."""
+
+import select
+import socket
+import struct
+
+import pytest
+from twisted.internet.epollreactor import EPollReactor
+
+from tests.platform_kit import READ, READY, START, WRITE, World, query
+from yardbank.gateway import Reply
+from yardbank.platform import client
+
+RESET = struct.pack("ii", 1, 0)
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+
+
+class Wire(World):
+    """Real sockets before the factory, a clock of the test's own behind it."""
+
+    def __init__(self, **more):
+        super().__init__(**more)
+        self.reactor = EPollReactor()
+        self.port = self.reactor.listenTCP(0, self.factory, interface="127.0.0.1")
+        self.made, build = [], self.factory.buildProtocol
+
+        def remember(address):
+            self.made.append(build(address))
+            return self.made[-1]
+
+        self.factory.buildProtocol = remember
+
+    def until(self, condition, turns=2000):
+        """Turn until something is so; each turn waits for sockets for a moment at most."""
+        for _ in range(turns):
+            if condition():
+                return
+            self.reactor.iterate(0.01)
+        raise AssertionError("it never came to pass")
+
+    def client(self, first=START, answers=1):
+        """A client whose first words are answered: its end and the gateway's."""
+        far = socket.create_connection(self.port.socket.getsockname())
+        far.settimeout(30)
+        self.until(lambda: any(made.transport.getPeer().port == far.getsockname()[1] for made in self.made))
+        near = next(made for made in self.made if made.transport.getPeer().port == far.getsockname()[1])
+        if first:
+            far.sendall(first)
+            self.until(lambda: readable(far))
+            got = b""
+            while got.count(READY) < answers:
+                self.until(lambda: readable(far))
+                got += far.recv(1 << 16)
+        return far, near
+
+    def close(self):
+        for descriptor in self.reactor.removeAll():
+            descriptor.connectionLost(None) if descriptor is self.port else descriptor.socket.close()
+
+
+@pytest.fixture
+def wire():
+    made = Wire()
+    yield made
+    made.close()
+
+
+def readable(held, events=select.POLLIN):
+    poll = select.poll()
+    poll.register(held, events)
+    return bool(poll.poll(0))
+
+
+def arrives(near, events):
+    """Wait, without a turn of the reactor, until the system has something for the gateway's end."""
+    poll = select.poll()
+    poll.register(near.transport.socket, events)
+    assert poll.poll(30_000)
+
+
+def go(far, how):
+    if how == "reset":
+        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        far.close()
+    elif how == "half closed":
+        far.shutdown(socket.SHUT_WR)
+    else:
+        far.close()
+
+
+ENDS = ["closed", "half closed", "reset"]
+
+
+@pytest.mark.parametrize("unread", [False, True], ids=["nothing unread", "octets before the end"])
+@pytest.mark.parametrize("how", ENDS)
+def test_a_client_is_not_there_once_the_system_knows_its_end(wire, how, unread):
+    far, near = wire.client()
+    assert near.present()
+    if unread:
+        far.sendall(query(READ))
+        arrives(near, select.POLLIN)
+        assert near.present()
+    go(far, how)
+    arrives(near, GONE)
+    assert not near.present()
+    assert not wire.backend.out
+    wire.until(lambda: near.transport.disconnected)
+    assert not wire.backend.out and len(wire.factory.admission) == 0
+
+
+def test_without_poll_or_a_socket_a_client_counts_as_there(wire, monkeypatch):
+    far, near = wire.client()
+    monkeypatch.delattr(select, "poll")
+    far.sendall(b"Q")
+    wire.until(lambda: near.unread() or near.owes())
+    assert near.present()
+    monkeypatch.undo()
+    held = World()
+    made, _ = held.connect()
+    assert made.present()
+
+
+@pytest.mark.parametrize("how", ENDS)
+@pytest.mark.parametrize("queued", [40, 3 * client.MAX_QUEUED])
+def test_requests_queued_behind_one_are_not_sent_on_once_the_client_has_gone(wire, how, queued):
+    far, near = wire.client()
+    pipelined = b"".join(query(READ.replace("a1", f"q{n}")) for n in range(queued))
+    far.sendall(pipelined)
+    wire.until(lambda: len(wire.backend.out) == 1 and near._session.waiting >= min(queued - 1, client.MAX_QUEUED))
+    go(far, how)
+    arrives(near, GONE)
+    wire.backend.out[0][1].attempt_done(Reply("ok", b"first"))  # the reactor has had no turn since the end came
+    assert len(wire.backend.out) == 1
+    wire.until(lambda: near.transport.disconnected)
+    assert len(wire.backend.out) == 1 and wire.gateway.owed == 0 and not wire.factory.open_ids
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_the_end_of_a_client_with_requests_queued_is_read_while_one_is_open(wire, how):
+    far, near = wire.client()
+    far.sendall(b"".join(query(READ.replace("a1", f"q{n}")) for n in range(100)))
+    wire.until(lambda: near._session.waiting == 99)
+    go(far, how)
+    wire.until(lambda: wire.gateway.counts["left"] == 1)
+    assert wire.gateway.owed == 0
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_nothing_is_sent_on_for_a_client_that_did_not_read_and_goes(wire, how):
+    far, near = wire.client()
+    near.pauseProducing()  # as the transport says when it holds too much
+    far.sendall(query(READ) + query(WRITE))
+    wire.until(lambda: near._session.waiting == 2)
+    go(far, how)
+    arrives(near, GONE)
+    near.resumeProducing()
+    assert not wire.backend.out
+    wire.until(lambda: near.transport.disconnected)
+    assert not wire.backend.out
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_a_client_that_is_not_read_and_goes_is_read_to_its_end_once_the_gateway_asks(wire, how):
+    far, near = wire.client()
+    far.sendall(b"".join(query(READ.replace("a1", f"q{n}")) for n in range(3 * client.MAX_QUEUED)))
+    wire.until(lambda: near._paused)
+    go(far, how)
+    arrives(near, GONE)
+    assert not near.present()
+    wire.until(lambda: near.transport.disconnected)
+    assert wire.gateway.counts["left"] == 1 and wire.gateway.owed == 0
+
+
+def test_a_client_that_says_that_it_leaves_takes_its_open_request_back(wire):
+    far, near = wire.client()
+    far.sendall(query(READ) + query(WRITE) + b"X\0\0\0\4")
+    wire.until(lambda: near.transport.disconnected or near.transport.disconnecting)
+    assert wire.gateway.owed == 0 and not wire.factory.open_ids and len(wire.backend.out) == 0
+    far, near = wire.client()
+    far.sendall(query(READ))
+    wire.until(lambda: len(wire.backend.out) == 1)
+    far.sendall(b"X\0\0\0\4")
+    wire.until(lambda: wire.gateway.counts["left"] == 1)
+    assert wire.gateway.owed == 0 and not wire.factory.open_ids
+
+
+def test_what_waits_on_one_connection_is_bounded_by_count_and_by_octets(wire):
+    far, near = wire.client()
+    far.setblocking(False)
+    unsent = query(WRITE.replace("9f03", "9f" * (60 << 10))) * 100
+    for _ in range(10_000):
+        try:
+            unsent = unsent[far.send(unsent) :]
+        except BlockingIOError:
+            pass
+        wire.reactor.iterate(0)
+        if near._paused:
+            break
+    assert near.transport not in wire.reactor.getReaders() and unsent
+    assert near._session.waiting < client.MAX_QUEUED
+    assert near._session._octets < client.MAX_QUEUED_OCTETS + client.MAX_MESSAGE
+    assert [event for event, _ in wire.log.lines].count("client_queue_bound") == 1
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -101,8 +101,8 @@
 def test_many_queries_at_once_are_taken_up_one_by_one_and_reading_pauses():
     world = World()
     made, transport = world.connect()
-    made.dataReceived(b"".join(query(READ.replace("a1", f"q{n}")) for n in range(100)))
+    made.dataReceived(b"".join(query(READ.replace("a1", f"q{n}")) for n in range(300)))
     assert len(world.backend.out) == 1 and transport.producerState == "paused"
-    for n in range(100):
+    for n in range(300):
         world.backend.out[n][1].attempt_done(Reply("ok", b"."))
-    assert transport.producerState == "producing" and transport.value().count(READY) == 100
+    assert transport.producerState == "producing" and transport.value().count(READY) == 300
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import ConnectionDone
@@ -12,7 +11,7 @@
 from zope.interface import implementer
 
 from yardbank.gateway.api import MS, Call
-from yardbank.platform import client
+from yardbank.platform import client, presence
 from yardbank.platform.admission import State
 from yardbank.platform.backend import Operation
 from yardbank.platform.client import ClientSession, Refusal
@@ -79,15 +78,33 @@
             return
         if out := self._session.receive(data):
             self.transport.write(out)
+        if self._session.left:
+            self._withdraw()
         self._advance()
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
         """The client has gone: nothing is owed to it any more."""
         self._closing = True
         self.factory.left(self)
-        if self._taken is not None:
+        self._withdraw()
+
+    def _withdraw(self) -> None:
+        """Take back what the client waits for."""
+        taken, self._taken = self._taken, None
+        if taken is not None:
             self.factory.open_ids.discard(self._open_id)
-            self.factory.gateway.leave(self._taken)
+            self._session.answered()
+            self.factory.gateway.leave(taken)
+
+    def present(self) -> bool:
+        """Whether the client is still there: not once its end has come, read or not."""
+        if self._closing or self._session.left:
+            return False
+        if presence.present(self.transport):
+            return True
+        self._session.leave()
+        self._read_on()  # up to its end, which tells that the connection is lost
+        return False
 
     def answer(self, number: str, octets: bytes) -> None:
         """The one final answer of the query in turn."""
@@ -102,10 +119,7 @@
 
     def unread(self) -> bool:
         """Whether octets of the client wait in the socket: closing it would swallow them."""
-        try:
-            return bool(self.transport.socket.recv(1, socket.MSG_PEEK))
-        except (OSError, AttributeError):
-            return False
+        return presence.unread(self.transport)
 
     def owes(self) -> bool:
         """Whether the client has asked, or is asking, for what it has not got."""
@@ -166,10 +180,15 @@
             self.let_go(STOPPING)
             return
         self.factory.became(self, State.STUCK if self._stuck else self._session.state())
-        if not self._paused and self._session.waiting >= client.PAUSE_AT:
+        if self._session.full and not self._paused:
             self._paused = True
+            self.factory.queue_bound(self._session.waiting)
             self.transport.pauseProducing()
-        elif self._paused and self._session.waiting <= client.RESUME_AT:
+        elif self._session.roomy:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        if self._paused:
             self._paused = False
             self.transport.resumeProducing()
 
@@ -180,6 +199,9 @@
             self._spoken = True
             self.transport.write(client.EMPTY)
             return
+        if not self.present():  # its end may have come while this one waited for its turn
+            self._session.answered()
+            return
         try:
             statement = read_statement(query, factory.kinds)
             if statement.id in factory.open_ids:
@@ -201,6 +223,7 @@
             session=statement.key if kind.read in ("session", "write") else None,
             since_write=since_write(statement, now),
             time_limit=statement.time_limit,
+            present=self.present,
         )
         number = gateway.take(call)
         if self._session.busy:
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -43,7 +43,7 @@
         self._connections: dict[int, ClientConnection] = {}
         self._numbers = count()
         self._cancel_sweep: Callable[[], None] | None = None
-        self._logged_at = self._rejected_logged_at = 0
+        self._said_at: dict[str, int] = {}  # by event: when it was last logged
         self._emptied: Callable[[], None] | None = None
 
     def buildProtocol(self, addr: Any) -> ClientConnection:
@@ -57,9 +57,7 @@
         way = self.admission.arrived(connection.number, now, most)
         if way is not None:
             self.counts["turned_away"] += 1
-            if now - self._logged_at > LOG_EVERY:
-                self._logged_at = now
-                self._log.warning("client_connections_bound", bound=most)
+            self._warn("client_connections_bound", bound=most)
         if way == connection.number:
             connection.close(client.full(self.come_again, "too many connections"))
             return
@@ -86,10 +84,18 @@
     def rejected(self, reason: str) -> None:
         """A client sent what cannot be served."""
         self.counts["rejected"] += 1
+        self._warn("client_rejected", reason=reason[:200], rejected=self.counts["rejected"])
+
+    def queue_bound(self, waiting: int) -> None:
+        """So many queries wait on one connection that it is not read any more for now."""
+        self._warn("client_queue_bound", waiting=waiting)
+
+    def _warn(self, event: str, **facts: Any) -> None:
+        """The first of each event in a second; the view has the counts."""
         now = self.gateway.now()
-        if now - self._rejected_logged_at > LOG_EVERY:  # the latest of each second; the view has the count
-            self._rejected_logged_at = now
-            self._log.warning("client_rejected", reason=reason[:200], rejected=self.counts["rejected"])
+        if now - self._said_at.get(event, now - LOG_EVERY) >= LOG_EVERY:
+            self._said_at[event] = now
+            self._log.warning(event, **facts)
 
     def _arm(self) -> None:
         self._cancel_sweep = self.gateway.call_at(self.gateway.now() + 250 * MS, self._sweep)
