A client's connection ends by a lingering close: no reset over unread octets, no last word lost

Seen: unread() looked once, then transport.loseConnection closed a reactor turn later (connection.close), over whatever came in between. Forced on real sockets, the reactor having had no turn since the look: a request in the socket then got a reset and no end, and the last word was lost with it.

Change: closing.py, one table of stages (OPEN, DRAINING, SAYING, LINGERING, CLOSED) and events without I/O, thin Twisted in lingering.py. With nothing unread and nothing unsent the sending side is shut in the very turn of the look; what is unsent goes out first, and a request that comes before it is out is still served. After the shutdown octets are read and dropped, up to 256 KiB and 500 ms, until the client ends. listening.py has the transport that says when all is written, and a port that accepts no more in a turn than there is room for. Connections that are being closed count against the bound of descriptors; four may do so beyond the clients' share, and where a newcomer has no room the oldest make way. A client that sent nonsense is told and closed at once, as before.

--- a/tests/platform_kit.py
+++ b/tests/platform_kit.py
@@ -149,11 +149,15 @@
         self.stops += 1
 
 
+def listening(reactor, host, port, factory, room):
+    return reactor.listenTCP(port, factory, interface=host)
+
+
 def service(tmp_path, **change):
     file = tmp_path / "config.json"
     file.write_bytes(orjson.dumps({**CONFIG, **change}))
     reactor, log = Reactor(), Log()
-    made = Service(load_config({"NODE_CONFIG": str(file)}), reactor, log)
+    made = Service(load_config({"NODE_CONFIG": str(file)}), reactor, log, listening)
     made.start()
     return made, reactor, log, file
 
--- a/tests/test_crossings_clients.py
+++ b/tests/test_crossings_clients.py
@@ -1,62 +1,14 @@
-"""Crossings at connections of clients, on real TCP sockets whose reactor turns only when told."""
+"""Crossings of a client's requests and its end, on real TCP sockets whose reactor turns only when told."""
 
 import select
-import socket
-import struct
 
 import pytest
-from twisted.internet.epollreactor import EPollReactor
 
-from tests.platform_kit import READ, READY, START, WRITE, World, query
+from tests.crossings_kit import GONE, Wire, arrives, go
+from tests.platform_kit import READ, WRITE, World, query
 from yardbank.gateway import Reply
 from yardbank.platform import client
 
-RESET = struct.pack("ii", 1, 0)
-GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
-
-
-class Wire(World):
-    """Real sockets before the factory, a clock of the test's own behind it."""
-
-    def __init__(self, **more):
-        super().__init__(**more)
-        self.reactor = EPollReactor()
-        self.port = self.reactor.listenTCP(0, self.factory, interface="127.0.0.1")
-        self.made, build = [], self.factory.buildProtocol
-
-        def remember(address):
-            self.made.append(build(address))
-            return self.made[-1]
-
-        self.factory.buildProtocol = remember
-
-    def until(self, condition, turns=2000):
-        """Turn until something is so; each turn waits for sockets for a moment at most."""
-        for _ in range(turns):
-            if condition():
-                return
-            self.reactor.iterate(0.01)
-        raise AssertionError("it never came to pass")
-
-    def client(self, first=START, answers=1):
-        """A client whose first words are answered: its end and the gateway's."""
-        far = socket.create_connection(self.port.socket.getsockname())
-        far.settimeout(30)
-        self.until(lambda: any(made.transport.getPeer().port == far.getsockname()[1] for made in self.made))
-        near = next(made for made in self.made if made.transport.getPeer().port == far.getsockname()[1])
-        if first:
-            far.sendall(first)
-            self.until(lambda: readable(far))
-            got = b""
-            while got.count(READY) < answers:
-                self.until(lambda: readable(far))
-                got += far.recv(1 << 16)
-        return far, near
-
-    def close(self):
-        for descriptor in self.reactor.removeAll():
-            descriptor.connectionLost(None) if descriptor is self.port else descriptor.socket.close()
-
 
 @pytest.fixture
 def wire():
@@ -65,29 +17,6 @@
     made.close()
 
 
-def readable(held, events=select.POLLIN):
-    poll = select.poll()
-    poll.register(held, events)
-    return bool(poll.poll(0))
-
-
-def arrives(near, events):
-    """Wait, without a turn of the reactor, until the system has something for the gateway's end."""
-    poll = select.poll()
-    poll.register(near.transport.socket, events)
-    assert poll.poll(30_000)
-
-
-def go(far, how):
-    if how == "reset":
-        far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        far.close()
-    elif how == "half closed":
-        far.shutdown(socket.SHUT_WR)
-    else:
-        far.close()
-
-
 ENDS = ["closed", "half closed", "reset"]
 
 
@@ -174,7 +103,7 @@
 def test_a_client_that_says_that_it_leaves_takes_its_open_request_back(wire):
     far, near = wire.client()
     far.sendall(query(READ) + query(WRITE) + b"X\0\0\0\4")
-    wire.until(lambda: near.transport.disconnected or near.transport.disconnecting)
+    wire.until(lambda: near.ending)
     assert wire.gateway.owed == 0 and not wire.factory.open_ids and len(wire.backend.out) == 0
     far, near = wire.client()
     far.sendall(query(READ))
--- a/yardbank/platform/admission.py
+++ b/yardbank/platform/admission.py
@@ -50,6 +50,7 @@
 
     both: int
     servers_least: int
+    closing: int = 4  # connections of clients that are being closed, besides
 
     @classmethod
     def of(cls, sockets: int) -> Descriptors:
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -6,7 +6,6 @@
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -15,6 +14,8 @@
 from yardbank.platform.admission import State
 from yardbank.platform.backend import Operation
 from yardbank.platform.client import ClientSession, Refusal
+from yardbank.platform.closing import Event
+from yardbank.platform.lingering import Lingering
 from yardbank.platform.statement import StatementError, read_statement, since_write
 
 if TYPE_CHECKING:
@@ -52,17 +53,16 @@
 
 
 @implementer(IPushProducer)
-class ClientConnection(Protocol):
+class ClientConnection(Lingering):
     """One client's connection."""
 
-    transport: Any
-
     def __init__(self, factory: ClientFactory, number: int) -> None:
+        super().__init__()
         self.factory, self.number = factory, number
         self._session = ClientSession()
         self._taken: str | None = None  # the gateway's number of the request that is being answered
         self._open_id = ""  # the client's own number of it
-        self._advancing = self._stuck = self._paused = self._closing = False
+        self._advancing = self._stuck = self._paused = False
         self._spoken = False  # something was answered: a request that crosses the end after that is sent again
 
     def connectionMade(self) -> None:
@@ -74,8 +74,10 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Queries, in any split."""
-        if self._closing:
+        if not self._closing.serves:
+            self._do(self._closing.drop(len(data)))
             return
+        self._closing.on(Event.OCTETS)
         if out := self._session.receive(data):
             self.transport.write(out)
         if self._session.left:
@@ -84,7 +86,7 @@
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
         """The client has gone: nothing is owed to it any more."""
-        self._closing = True
+        self._closing.on(Event.LOST)
         self.factory.left(self)
         self._withdraw()
 
@@ -98,7 +100,7 @@
 
     def present(self) -> bool:
         """Whether the client is still there: not once its end has come, read or not."""
-        if self._closing or self._session.left:
+        if not self._closing.serves or self._session.left:
             return False
         if presence.present(self.transport):
             return True
@@ -111,16 +113,12 @@
         self.factory.open_ids.discard(number)
         self._taken = None
         self._session.answered()
-        if self._closing:
+        if not self._closing.serves:
             return
         self._spoken = True
         self.transport.write(octets)
         self._advance()
 
-    def unread(self) -> bool:
-        """Whether octets of the client wait in the socket: closing it would swallow them."""
-        return presence.unread(self.transport)
-
     def owes(self) -> bool:
         """Whether the client has asked, or is asking, for what it has not got."""
         session = self._session
@@ -133,53 +131,41 @@
         else:
             self.close(client.turned_away(self.factory.come_again, reason))
 
-    def close(self, last: bytes) -> None:
-        """Write the last word and close."""
-        if self._closing:
-            return
-        if not last and not self._session.ended:
-            self._mute()
-        self._closing = True
-        if last:
-            self.transport.write(last)
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
-
-    def cut(self) -> None:
-        """Close at once."""
-        if not self._closing:
-            self._mute()
-        self._closing = True
-        self.transport.abortConnection()
-
-    def _mute(self) -> None:
-        """It ends without a word."""
-        if not self._spoken or self.owes():
+    def reject(self, reason: str, last: bytes) -> None:
+        """The client sent what cannot be served: it is told so, and nothing of it is waited for."""
+        self.factory.rejected(reason)
+        self.close(last, Event.REJECTED)
+
+    def _no_more(self) -> None:
+        """From here on nothing of the client is served."""
+        if not self._told_last and not self._session.left and (not self._spoken or self.owes()):
+            self._told_last = True
             self.factory.counts["closed_unanswered"] += 1
+        self.factory.closes(self)
+        self._read_on()
 
     def _advance(self) -> None:
         """Take up what is next in turn; an answer that comes at once comes back here."""
-        if self._advancing or self._closing:
+        if self._advancing or not self._closing.serves:
             return
         self._advancing = True
         try:
-            while not self._closing and not self._stuck and (query := self._session.next()) is not None:
+            while self._closing.serves and not self._stuck and (query := self._session.next()) is not None:
                 if isinstance(query, Refusal):
-                    self.factory.rejected(query.reason)
-                    self.close(query.last)
+                    self.reject(query.reason, query.last)
                 else:
                     self._query(query)
         finally:
             self._advancing = False
-        if self._closing:
+        if not self._closing.serves:
             return
+        self.factory.became(self, State.STUCK if self._stuck else self._session.state())
         if self._session.ended and not self._session.busy:
             self.close(b"")
             return
         if self.factory.stopping and not self._stuck and self._session.state() is State.IDLE and not self.unread():
             self.let_go(STOPPING)
             return
-        self.factory.became(self, State.STUCK if self._stuck else self._session.state())
         if self._session.full and not self._paused:
             self._paused = True
             self.factory.queue_bound(self._session.waiting)
@@ -207,8 +193,7 @@
             if statement.id in factory.open_ids:
                 raise StatementError("id: another open request has it")
         except StatementError as problem:
-            factory.rejected(str(problem))
-            self.close(client.rejected(str(problem)))
+            self.reject(str(problem), client.rejected(str(problem)))
             return
         factory.open_ids.add(statement.id)
         self._open_id = statement.id
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -13,9 +13,11 @@
 from yardbank.interface import RequestClass
 from yardbank.platform import client
 from yardbank.platform.admission import Admission, Descriptors, State
+from yardbank.platform.closing import LINGER
 from yardbank.platform.connection import STOPPING, ClientConnection
 
 COME_AGAIN = 250 * MS  # told to a connection for which there is no room
+MAKE_WAY = 8  # connections that are being closed are closed early, so many at a time, where a client has no room
 LOG_EVERY = 1000 * MS  # of what clients can cause at will
 
 
@@ -41,11 +43,26 @@
             ("arrived", "rejected", "turned_away", "timed_out", "failed_unsent", "closed_unanswered"), 0
         )
         self._connections: dict[int, ClientConnection] = {}
+        self._closing: dict[int, int] = {}  # connections that are being closed, the oldest first: since when
         self._numbers = count()
         self._cancel_sweep: Callable[[], None] | None = None
         self._said_at: dict[str, int] = {}  # by event: when it was last logged
         self._emptied: Callable[[], None] | None = None
 
+    @property
+    def held(self) -> int:
+        """Connections that hold a descriptor, those that are being closed among them."""
+        return len(self.admission) + len(self._closing)
+
+    def room(self) -> int:
+        """How many connections may be accepted now; where there is none, the oldest that are being closed make way."""
+        room = self._descriptors.for_clients(self.gateway.server_connections) + self._descriptors.closing - self.held
+        if room > 0 or not self._closing:
+            return max(1, room)
+        for number in list(self._closing)[:MAKE_WAY]:
+            self._connections[number].overdue()
+        return 0
+
     def buildProtocol(self, addr: Any) -> ClientConnection:
         return ClientConnection(self, next(self._numbers))
 
@@ -58,14 +75,14 @@
         if way is not None:
             self.counts["turned_away"] += 1
             self._warn("client_connections_bound", bound=most)
+        self._connections[connection.number] = connection
+        if self._cancel_sweep is None:
+            self._arm()
         if way == connection.number:
             connection.close(client.full(self.come_again, "too many connections"))
             return
         if way is not None:
             self._connections[way].close(client.full(self.come_again, "too many connections: this one was not in use"))
-        self._connections[connection.number] = connection
-        if self._cancel_sweep is None:
-            self._arm()
 
     def became(self, connection: ClientConnection, state: State) -> None:
         """What a connection is about now."""
@@ -74,9 +91,15 @@
         if state is State.IDLE:
             self.admission.served(connection.number, now)
 
+    def closes(self, connection: ClientConnection) -> None:
+        """Nothing of a connection is served any more; it holds its descriptor until it has left."""
+        self.admission.left(connection.number)
+        self._closing.setdefault(connection.number, self.gateway.now())
+
     def left(self, connection: ClientConnection) -> None:
         """A connection is gone."""
         self.admission.left(connection.number)
+        self._closing.pop(connection.number, None)
         self._connections.pop(connection.number, None)
         if self._emptied is not None and not self._connections:
             self._emptied()
@@ -103,19 +126,22 @@
     def _sweep(self) -> None:
         """One timer for all connections, and none while there are none."""
         self._cancel_sweep = None
-        for number, state in self.admission.overdue(self.gateway.now()):
+        now = self.gateway.now()
+        for number, state in self.admission.overdue(now):
             connection, reason = self._connections[number], f"the connection {state.value}"
             if state is State.IDLE:
-                if connection.unread():  # it has just asked: the next look finds it busy
-                    continue
-                connection.let_go(reason)
+                if connection.ending:
+                    connection.overdue()
+                elif not connection.unread():  # else it has just asked: the next look finds it busy
+                    connection.let_go(reason)
+                continue
+            self.counts["timed_out"] += 1
+            if state is State.STUCK or connection.ending:
+                connection.cut()
             else:
-                self.counts["timed_out"] += 1
-                if state is State.STUCK:
-                    connection.cut()
-                else:
-                    connection.close(client.turned_away(self.come_again, reason))
-            self.admission.left(number)
+                connection.close(client.turned_away(self.come_again, reason))
+        for number in [number for number, since in self._closing.items() if now - since >= LINGER]:
+            self._connections[number].overdue()
         if self._connections:
             self._arm()
 
@@ -135,10 +161,11 @@
         if not self._connections:
             emptied()
         for connection in list(self._connections.values()):
-            if not connection.unread():
+            if not connection.unread() and not connection.ending:
                 connection.let_go(STOPPING)
 
     def cut_all(self) -> None:
         """Nothing is waited for any longer."""
         for connection in list(self._connections.values()):
+            connection.overdue()
             connection.cut()
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -16,6 +16,7 @@
 from yardbank.gateway.api import MS, SECOND, Limits
 from yardbank.gateway.gateway import Gateway
 from yardbank.gateway.positions import ClockPositions
+from yardbank.platform import listening
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
 from yardbank.platform.backend import PlatformBackend
 from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs
@@ -37,7 +38,10 @@
 class Service:
     """One gateway on the platform."""
 
-    def __init__(self, config: PlatformConfig, reactor: Any, log: Any) -> None:
+    def __init__(
+        self, config: PlatformConfig, reactor: Any, log: Any, listen: Callable[..., Any] = listening.listen
+    ) -> None:
+        self._listen = listen
         self.config, self._reactor, self.log = config, reactor, log
         descriptors = Descriptors.of(config.sockets)
         settings = config.settings
@@ -60,7 +64,7 @@
             seconds=seconds,
             log=log,
             positions=ClockPositions(),
-            connections_bound=lambda: descriptors.for_servers(len(self.admission)),
+            connections_bound=lambda: descriptors.for_servers(self.factory.held),
         )
         self.admission = Admission(AdmissionLimits())
         self.factory = ClientFactory(
@@ -75,7 +79,7 @@
         """Take the list that is known, listen, watch discovery."""
         self.gateway.apply_list(specs(self.config.known), self.config.known.generation)
         listen = self.config.listen
-        self._port = self._reactor.listenTCP(listen.port, self.factory, backlog=1024, interface=listen.host)
+        self._port = self._listen(self._reactor, listen.host, listen.port, self.factory, self.factory.room)
         self.watcher.start()
         self._view()
         classes = {kind.name: (kind.aim // MS, kind.deadline // MS) for kind in self.config.settings.classes}
