Signals are minded from the first moment of the process, and none begins a watch that was stopped

Seen: service.main set its handlers after imports and configuration; until then SIGHUP, SIGTERM and SIGINT acted by default. Forced with the real program held at a pipe in place of its configuration: each of the three killed it. A reload after the drain moved the watcher, which began a watch that was stopped (service.reload, no look at the stage).

Change: platform/signals.py, which imports nothing heavy, is installed first thing in __main__ and keeps what comes; the service is handed it when it listens. SIGTERM before listening ends with exit 0 after start-up, listening and stop in good order; SIGHUP is carried out once ready. A reload while stopping moves the watch as long as there is one and then is ignored, with a line (reload_ignored). yardbank/__init__ loads Router and Settings when asked for (PEP 562).

The start as a whole does not change: the service needs both.

--- /dev/null
+++ b/tests/test_crossings_process.py
@@ -0,0 +1,110 @@
+"""Signals that meet the start or the end of the program, and of clients that come at its end."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import orjson
+import pytest
+
+from tests.platform_kit import CONFIG, service
+
+
+def start_held(tmp_path, discovery):
+    """The program, held while it reads its configuration: its process, the file, the pipe that it reads from.
+
+    The file is a pipe first and the configuration later, so that a reload reads something else than the start.
+    """
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    file, later = tmp_path / "config.json", tmp_path / "later.json"
+    os.mkfifo(file)
+    process = subprocess.Popen(
+        [sys.executable, "-m", "yardbank.platform"], env={**os.environ, "NODE_CONFIG": str(file)}, stderr=subprocess.PIPE
+    )
+    pipe = os.open(file, os.O_WRONLY)  # opens once the program reads
+    later.write_bytes(orjson.dumps({**CONFIG, "listen": listen, "discovery": f"127.0.0.1:{discovery}"}))
+    later.rename(file)
+    first = orjson.dumps({**CONFIG, "listen": listen, "discovery": "127.0.0.1:9"})
+    return process, pipe, first
+
+
+TERM, INT, HUP = signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+
+
+@pytest.mark.parametrize("numbers", [[HUP], [TERM], [INT], [HUP, TERM], [TERM, HUP], [TERM, TERM]], ids=str)
+def test_signals_before_the_program_is_up_are_carried_out_once_it_is(tmp_path, numbers):
+    with socket.create_server(("127.0.0.1", 0)) as agent:
+        agent.settimeout(30)
+        process, pipe, first = start_held(tmp_path, agent.getsockname()[1])
+        try:
+            for number in numbers:
+                process.send_signal(number)
+            os.write(pipe, first)
+            os.close(pipe)
+            if HUP in numbers:
+                agent.accept()[0].close()  # discovery is where the new configuration says
+            if numbers == [HUP]:
+                process.send_signal(TERM)
+            written = process.stderr.read()
+            assert process.wait(30) == 0
+        finally:
+            process.kill()
+            process.wait()
+    events = [orjson.loads(line)["event"] for line in written.splitlines()]
+    assert events.index("listening") < events.index("stop_asked") < events.index("ended")
+    assert events.count("stop_asked") == 1 and events.count("reloaded") == numbers.count(HUP)
+
+
+HEAVY = ("twisted", "structlog", "msgspec", "zope", "yardbank.policy", "yardbank.interface", "yardbank.gateway")
+
+
+@pytest.mark.parametrize("module", ["structlog", "twisted", "msgspec"])
+def test_signals_are_minded_before_anything_heavy_is_loaded(tmp_path, module):
+    """The first of the heavy modules is replaced by one that looks at what is in place."""
+    (tmp_path / f"{module}.py").write_text(
+        "import signal, sys\n"
+        f"heavy = [name for name in sys.modules if name.startswith({HEAVY!r}) and name not in ({module!r}, 'yardbank')]\n"
+        "minded = all(callable(signal.getsignal(n)) and signal.getsignal(n) is not signal.default_int_handler\n"
+        "             for n in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))\n"
+        "sys.exit(7 if minded else f'not minded, {heavy} loaded')\n"
+    )
+    path = os.pathsep.join([str(tmp_path), os.environ.get("PYTHONPATH", "")])
+    ended = subprocess.run(
+        [sys.executable, "-m", "yardbank.platform"], env={**os.environ, "PYTHONPATH": path}, capture_output=True,
+        timeout=60, check=False,
+    )  # fmt: skip
+    assert ended.returncode == 7, ended.stderr.decode()
+
+
+def test_the_decision_module_is_loaded_when_it_is_asked_for():
+    told = "import sys, yardbank; assert 'yardbank.policy' not in sys.modules; from yardbank import Router, Settings;" \
+        "assert Router.__module__.startswith('yardbank.') and Settings.__name__ == 'Settings'"  # fmt: skip
+    subprocess.run([sys.executable, "-c", told], check=True, timeout=60)
+    with pytest.raises(ImportError):
+        from yardbank import nothing_of_the_kind  # noqa: F401
+
+
+def test_a_reload_while_the_gateway_stops_moves_a_watch_and_begins_none_that_was_stopped(tmp_path):
+    made, reactor, log, file = service(tmp_path)
+    environment = {"NODE_CONFIG": str(file)}
+
+    def move(port):
+        file.write_bytes(orjson.dumps({**CONFIG, "discovery": f"127.0.0.9:{port}"}))
+        made.signalled(HUP, environment)
+
+    made.signalled(TERM, environment)
+    move(8501)
+    assert reactor.tcpClients[-1][:2] == ("127.0.0.9", 8501)
+    made.signalled(TERM, environment)
+    reactor.advance(0.7)
+    begun = len(reactor.tcpClients)
+    move(8502)
+    made.watcher.stop()
+    assert len(reactor.tcpClients) == begun and ("reload_ignored", {"note": "the gateway is ending"}) in log.lines
+    reactor.advance(5)
+    assert len(reactor.tcpClients) == begun and reactor.stops == 1
+    move(8503)
+    assert len(reactor.tcpClients) == begun
--- a/yardbank/platform/__main__.py
+++ b/yardbank/platform/__main__.py
@@ -2,6 +2,11 @@
 
 import sys
 
-from yardbank.platform.service import main
+from yardbank.platform.signals import Signals
 
-sys.exit(main())
+signals = Signals()
+signals.install()  # before all that takes time to load
+
+from yardbank.platform.service import main  # noqa: E402
+
+sys.exit(main(signals))
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -22,6 +22,7 @@
 from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
+from yardbank.platform.signals import Signals
 from yardbank.platform.watch import Watcher
 
 LINGER = 600 * MS  # after SIGTERM clients still come for a moment: they are served as ever
@@ -73,7 +74,7 @@
         self.watcher = Watcher(config.discovery, config.known.generation, self._listed, reactor, log)
         self._port: Any = None
         self._last: Any = None
-        self._ended = False
+        self._ended = self._watch_over = False
 
     def start(self) -> None:
         """Take the list that is known, listen, watch discovery."""
@@ -99,8 +100,21 @@
         self.log.info("view", **self.gateway.view(), clients=clients, **self.factory.counts)
         self.gateway.call_at(self.gateway.now() + VIEW_EVERY, self._view)
 
+    def signalled(self, number: int, environment: Mapping[str, str]) -> None:
+        """SIGHUP brings a new configuration, SIGTERM and SIGINT the end; again is once."""
+        if number == signal.SIGHUP:
+            self.reload(environment)
+        else:
+            self.stop()
+
     def reload(self, environment: Mapping[str, str]) -> None:
-        """Take a new configuration: discovery's address changes in service, the rest with a restart."""
+        """Take a new configuration: discovery's address changes in service, the rest with a restart.
+
+        While the gateway stops, discovery is followed as long as it is watched; then nothing is begun any more.
+        """
+        if self._watch_over:
+            self.log.info("reload_ignored", note="the gateway is ending")
+            return
         try:
             config = load_config(environment)
         except PlatformError as problem:
@@ -128,6 +142,7 @@
         self.gateway.stop().addCallback(lambda _: self._look_first(self._stopped))
 
     def _stopped(self) -> None:
+        self._watch_over = True
         self.watcher.stop()
         self._last = self._reactor.callLater(LAST_WORDS / 1e9, self._end)
         self.factory.close_all(self._end)
@@ -158,8 +173,8 @@
     return structlog.get_logger()
 
 
-def main() -> int:
-    """Serve until told to stop; the exit code."""
+def main(signals: Signals) -> int:
+    """Serve until told to stop; the exit code. Signals that came meanwhile are carried out once it serves."""
     log = _log()
     try:
         config = load_config(os.environ)
@@ -172,14 +187,12 @@
     reactor: Any = installed
     reactor.seconds = time.monotonic  # timers must not move when the wall clock is set
     service = Service(config, reactor, log)
-    signal.signal(signal.SIGTERM, lambda number, frame: reactor.callFromThread(service.stop))
-    signal.signal(signal.SIGINT, lambda number, frame: reactor.callFromThread(service.stop))
-    signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(service.reload, os.environ))
     try:
         service.start()
     except CannotListenError as problem:
         print(f"yardbank: NODE_LISTEN: {problem}", file=sys.stderr)
         return 2
+    signals.hand_over(lambda number: reactor.callFromThread(service.signalled, number, os.environ))
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)  # requests are short-lived: a sweep at each 700 objects costs a tenth
