--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -2,20 +2,20 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING, Any
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
 from yardbank.gateway.api import MS, Call
-from yardbank.platform import client
+from yardbank.platform import client, presence
 from yardbank.platform.admission import State
 from yardbank.platform.backend import Operation
 from yardbank.platform.client import ClientSession, Refusal
+from yardbank.platform.closing import Event
+from yardbank.platform.lingering import Lingering
 from yardbank.platform.statement import StatementError, read_statement, since_write
 
 if TYPE_CHECKING:
@@ -53,17 +53,16 @@
 
 
 @implementer(IPushProducer)
-class ClientConnection(Protocol):
+class ClientConnection(Lingering):
     """One client's connection."""
 
-    transport: Any
-
     def __init__(self, factory: ClientFactory, number: int) -> None:
+        super().__init__()
         self.factory, self.number = factory, number
         self._session = ClientSession()
         self._taken: str | None = None  # the gateway's number of the request that is being answered
         self._open_id = ""  # the client's own number of it
-        self._advancing = self._stuck = self._paused = self._closing = False
+        self._advancing = self._stuck = self._paused = False
         self._spoken = False  # something was answered: a request that crosses the end after that is sent again
 
     def connectionMade(self) -> None:
@@ -75,38 +74,51 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Queries, in any split."""
-        if self._closing:
+        if not self._closing.serves:
+            self._do(self._closing.drop(len(data)))
             return
+        self._closing.on(Event.OCTETS)
         if out := self._session.receive(data):
             self.transport.write(out)
+        if self._session.left:
+            self._withdraw()
         self._advance()
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
         """The client has gone: nothing is owed to it any more."""
-        self._closing = True
+        self._closing.on(Event.LOST)
         self.factory.left(self)
-        if self._taken is not None:
+        self._withdraw()
+
+    def _withdraw(self) -> None:
+        """Take back what the client waits for."""
+        taken, self._taken = self._taken, None
+        if taken is not None:
             self.factory.open_ids.discard(self._open_id)
-            self.factory.gateway.leave(self._taken)
+            self._session.answered()
+            self.factory.gateway.leave(taken)
+
+    def present(self) -> bool:
+        """Whether the client is still there: not once its end has come, read or not."""
+        if not self._closing.serves or self._session.left:
+            return False
+        if presence.present(self.transport):
+            return True
+        self._session.leave()
+        self._read_on()  # up to its end, which tells that the connection is lost
+        return False
 
     def answer(self, number: str, octets: bytes) -> None:
         """The one final answer of the query in turn."""
         self.factory.open_ids.discard(number)
         self._taken = None
         self._session.answered()
-        if self._closing:
+        if not self._closing.serves:
             return
         self._spoken = True
         self.transport.write(octets)
         self._advance()
 
-    def unread(self) -> bool:
-        """Whether octets of the client wait in the socket: closing it would swallow them."""
-        try:
-            return bool(self.transport.socket.recv(1, socket.MSG_PEEK))
-        except (OSError, AttributeError):
-            return False
-
     def owes(self) -> bool:
         """Whether the client has asked, or is asking, for what it has not got."""
         session = self._session
@@ -119,57 +131,50 @@
         else:
             self.close(client.turned_away(self.factory.come_again, reason))
 
-    def close(self, last: bytes) -> None:
-        """Write the last word and close."""
-        if self._closing:
-            return
-        if not last and not self._session.ended:
-            self._mute()
-        self._closing = True
-        if last:
-            self.transport.write(last)
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
-
-    def cut(self) -> None:
-        """Close at once."""
-        if not self._closing:
-            self._mute()
-        self._closing = True
-        self.transport.abortConnection()
-
-    def _mute(self) -> None:
-        """It ends without a word."""
-        if not self._spoken or self.owes():
+    def reject(self, reason: str, last: bytes) -> None:
+        """The client sent what cannot be served: it is told so, and nothing of it is waited for."""
+        self.factory.rejected(reason)
+        self.close(last, Event.REJECTED)
+
+    def _no_more(self) -> None:
+        """From here on nothing of the client is served."""
+        if not self._told_last and not self._session.left and (not self._spoken or self.owes()):
+            self._told_last = True
             self.factory.counts["closed_unanswered"] += 1
+        self.factory.closes(self)
+        self._read_on()
 
     def _advance(self) -> None:
         """Take up what is next in turn; an answer that comes at once comes back here."""
-        if self._advancing or self._closing:
+        if self._advancing or not self._closing.serves:
             return
         self._advancing = True
         try:
-            while not self._closing and not self._stuck and (query := self._session.next()) is not None:
+            while self._closing.serves and not self._stuck and (query := self._session.next()) is not None:
                 if isinstance(query, Refusal):
-                    self.factory.rejected(query.reason)
-                    self.close(query.last)
+                    self.reject(query.reason, query.last)
                 else:
                     self._query(query)
         finally:
             self._advancing = False
-        if self._closing:
+        if not self._closing.serves:
             return
+        self.factory.became(self, State.STUCK if self._stuck else self._session.state())
         if self._session.ended and not self._session.busy:
             self.close(b"")
             return
         if self.factory.stopping and not self._stuck and self._session.state() is State.IDLE and not self.unread():
             self.let_go(STOPPING)
             return
-        self.factory.became(self, State.STUCK if self._stuck else self._session.state())
-        if not self._paused and self._session.waiting >= client.PAUSE_AT:
+        if self._session.full and not self._paused:
             self._paused = True
+            self.factory.queue_bound(self._session.waiting)
             self.transport.pauseProducing()
-        elif self._paused and self._session.waiting <= client.RESUME_AT:
+        elif self._session.roomy:
+            self._read_on()
+
+    def _read_on(self) -> None:
+        if self._paused:
             self._paused = False
             self.transport.resumeProducing()
 
@@ -180,13 +185,15 @@
             self._spoken = True
             self.transport.write(client.EMPTY)
             return
+        if not self.present():  # its end may have come while this one waited for its turn
+            self._session.answered()
+            return
         try:
             statement = read_statement(query, factory.kinds)
             if statement.id in factory.open_ids:
                 raise StatementError("id: another open request has it")
         except StatementError as problem:
-            factory.rejected(str(problem))
-            self.close(client.rejected(str(problem)))
+            self.reject(str(problem), client.rejected(str(problem)))
             return
         factory.open_ids.add(statement.id)
         self._open_id = statement.id
@@ -201,6 +208,7 @@
             session=statement.key if kind.read in ("session", "write") else None,
             since_write=since_write(statement, now),
             time_limit=statement.time_limit,
+            present=self.present,
         )
         number = gateway.take(call)
         if self._session.busy:
