What waits for a connection is taken back or looked at once more before it is written

Cause, seen in reading and confirmed by tests that failed first: an attempt that waits in a connection that is opening (Channel.waiting) outlived its reason to go. Gateway.leave, and every other end of a request, left it there, and Lines._ready wrote it when the connection came up, also on one opened again in place of a broken one. A server's drain, move or end did not reach it: Reach.apply_changes let the old way go on. Its time limit was checked by a timer alone, which a process that stood still fires late. A repeat of a keyed request was held against its window when it was decided on and not when it was written, an unsafe one likewise.

Change: gateway/sending.py decides, without I/O, whether an attempt may be written, with its reasons in one enum; Way._write asks it, at once or when a connection is up, after before_send (new, of Gateway: takes in unread lists) and Call.present. Ends of requests and changes of the list withdraw what waits; it ends moot, and the module routes it anew after it has heard of the list. Lists are numbered, so that what the module decides with a drain in hand still goes. Questions that wait for a server that has moved are put at its new address. Attempts that wait are no longer dropped unended if a connection is lost while the first of them is written.

--- a/yardbank/gateway/answering.py
+++ b/yardbank/gateway/answering.py
@@ -10,6 +10,7 @@
 from yardbank.gateway.ending import may_be_refused
 from yardbank.gateway.probing import Probing
 from yardbank.gateway.request import Open
+from yardbank.gateway.sending import Withheld
 
 AT_ONCE = 5_000_000  # ns
 
@@ -109,6 +110,13 @@
             self._refuse(request, self.settings.max_retry_after, reason)
         else:
             self._fail(request, reason)
+        self._withdraw(request)
+
+    def _withdraw(self, request: Open) -> None:
+        """Nothing more is sent for a request: its attempts that wait for a connection end as never run."""
+        for attempt in list(request.out.values()):
+            if not attempt.gone_out and not attempt.ended:
+                attempt.end("moot", None, Withheld.ENDED.value)
 
     def _finish(self, request: Open, answer: str, server: str) -> None:
         request.ended = True
--- a/yardbank/gateway/attempt.py
+++ b/yardbank/gateway/attempt.py
@@ -9,12 +9,16 @@
 
 if TYPE_CHECKING:
     from yardbank.gateway.link import Way
+    from yardbank.gateway.sending import Withheld
 
 
 class Attempt:
     """One attempt on its way to a server. Ends once, whatever happens; a ``Receiver`` of its connection."""
 
-    __slots__ = ("_ended", "number", "on_end", "on_part", "operation", "sent_at", "slot", "timer", "way")
+    __slots__ = (
+        "_ended", "list_seen", "look", "number", "on_end", "on_part", "operation", "sent_at", "slot", "timer", "until",
+        "way",
+    )  # fmt: skip
 
     def __init__(
         self,
@@ -22,9 +26,13 @@
         sent_at: int,
         on_part: Callable[[Any, int], None],
         on_end: Callable[[str, Reply | None, str], None],
+        look: Callable[[Attempt], Withheld | None] = lambda attempt: None,
+        list_seen: int = 0,
     ) -> None:
         self.operation, self.sent_at = operation, sent_at
         self.on_part, self.on_end = on_part, on_end
+        self.look, self.list_seen = look, list_seen  # asked before it is written; the list it was decided on
+        self.until = 0  # it is of no use from then on (ns)
         self.slot: int | None = None
         self.number: int | None = None  # on its connection, once it has gone out
         self.timer: int | None = None
--- a/yardbank/gateway/attempting.py
+++ b/yardbank/gateway/attempting.py
@@ -11,6 +11,7 @@
 from yardbank.gateway.ending import NEVER_RAN, standing
 from yardbank.gateway.link import Attempt
 from yardbank.gateway.request import Open
+from yardbank.gateway.sending import Withheld, withheld
 
 _DIGITS = re.compile("[0-9]+")
 MAX_ENDS = 64  # ways to come to nothing that are told apart in the log
@@ -44,6 +45,8 @@
             now,
             lambda payload, size: self._part(request, number, payload, size),
             lambda status, reply, reason: self._attempt_ended(request, number, action.server, status, reply, reason),
+            lambda attempt: self._look(request, attempt, action.server),
+            self._lists_told,
         )
         request.out[number] = attempt
         if way is not None:
@@ -51,11 +54,35 @@
             if self._record:
                 self._note("send", id=request.id, attempt=number, server=way.server.name)
         if way is None or request.ended:
-            attempt.end("moot", None, "the request had ended")
+            attempt.end("moot", None, (Withheld.ENDED if request.ended else Withheld.SUPERSEDED).value)
         else:
             way.submit(attempt, action.until)
             self._watch_idle()
 
+    def _look(self, request: Open, attempt: Attempt, server: int) -> Withheld | None:
+        """The last look before an attempt is written: lists that lie unread, the client, and what has come between."""
+        if not request.ended:
+            self._catch_up()
+            if not request.ended and not self._present(request):
+                self.leave(request.id)
+        return withheld(request, attempt, self._clock.now(), self._changed_in.get(server, 0))
+
+    def _present(self, request: Open) -> bool:
+        try:
+            return request.call.present is None or request.call.present()
+        except Exception as problem:
+            self.log.error("front_error", request=request.id, error=repr(problem), exc_info=True)
+            return True
+
+    def leave(self, number: str) -> None:
+        """The client of a request has gone, or wants no answer: none is sent, and what has not gone out never will."""
+        request = self._open.get(number)
+        if request is None or request.ended:
+            return
+        self._finish(request, "left", "")
+        self._handle(api.Gone(number))
+        self._withdraw(request)
+
     def _part(self, request: Open, number: int, payload: Any, size: int) -> None:
         """Gather an answer's parts up to the bound; beyond it, the answer begins to reach the client."""
         if request.ended or request.answering not in (None, number):
@@ -71,6 +98,7 @@
             request.answering = number
             del request.parts[number]
             self._handle(api.Started(request.id))
+            self._withdraw(request)
             attempt = request.out.get(number)
             if attempt is not None and attempt.timer is not None:
                 self._deadlines.cancel(attempt.timer)
@@ -118,7 +146,7 @@
             if reply.report is not None:
                 report = self._positions.report(server, reply.report, attempt.sent_at)
         if status not in NEVER_RAN:
-            request.may_have_run = True
+            request.ran(attempt.sent_at)
         if status != "ok":
             end = _DIGITS.sub("#", f"{status}: {reason}"[:80])
             if end in self._ends or len(self._ends) < MAX_ENDS:
@@ -152,3 +180,5 @@
         )
         self._forget(request)
         self._handle(event)
+        if request.ended:
+            self._withdraw(request)
--- a/yardbank/gateway/core.py
+++ b/yardbank/gateway/core.py
@@ -49,7 +49,11 @@
         router: Callable[[api.Settings], Router] = Router,
         positions: Positions | None = None,
         connections_bound: Callable[[], int] | None = None,
+        before_send: Callable[[], None] | None = None,
     ) -> None:
+        self._before_send, self._busy_with_lists = before_send, False
+        self._lists_put = self._lists_told = 0  # lists queued for the module, and those that it has got
+        self._changed_in: dict[int, int] = {}  # by server, the list with which it last drained, moved or was gone
         self._connections_bound = connections_bound
         self.settings, self.limits = settings, limits or Limits()
         self.log = (log or structlog.get_logger()).bind()  # bound once: a lazy logger is made anew at each line
@@ -153,6 +157,8 @@
             self._handling = False
 
     def _handle_one(self, event: api.Event) -> None:
+        if isinstance(event, api.ServerList):
+            self._lists_told += 1
         try:
             actions = self._router.handle(self._clock.now(), event)
         except Exception as problem:
@@ -166,6 +172,18 @@
                 self.log.error("action_error", action=type(action).__name__, error=repr(problem), exc_info=True)
                 self._rescue(action)
 
+    def _catch_up(self) -> None:
+        """Have lists taken in that lie unread, unless one is being taken right now."""
+        if self._before_send is None or self._busy_with_lists:
+            return
+        self._busy_with_lists = True
+        try:
+            self._before_send()
+        except Exception as problem:
+            self.log.error("before_send_error", error=repr(problem), exc_info=True)
+        finally:
+            self._busy_with_lists = False
+
     def _note(self, kind: str, **facts: Any) -> None:
         if self._record:
             self._record({"kind": f"gateway_{kind}", **facts})
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -28,7 +28,8 @@
     ``settings`` are the decision module's own; ``backend`` reaches the servers; ``record`` is told of every
     request, attempt and answer, as plain dictionaries. ``router`` makes the decision module's instance;
     ``positions`` says what servers' marks mean; ``connections_bound`` how many connections all servers together may
-    have now: at the bound the idlest gives way to a new one.
+    have now: at the bound the idlest gives way to a new one; ``before_send`` is called before each attempt is written,
+    and takes in lists that lie unread (``apply_changes`` may be called from it).
     """
 
     def take(self, call: Call) -> str:
@@ -65,14 +66,6 @@
         )
         return number
 
-    def leave(self, number: str) -> None:
-        """The client of a request has gone, or wants no answer: none is sent."""
-        request = self._open.get(number)
-        if request is None or request.ended:
-            return
-        self._finish(request, "left", "")
-        self._handle(api.Gone(number))
-
     def shared(self, make: Callable[..., Shares]) -> Shares:
         """Whatever tells other gateways of this one, and takes in their word; made of what it has to read and call."""
         return make(self._router, self._specs, self._servers, self.connections, self._refused, self._handle)
@@ -101,10 +94,12 @@
                 if (request := self._open.get(action.id)) and not request.ended:
                     self._reason(action, cause, request)
                     self._refuse(request, action.retry_after, "turned away")
+                    self._withdraw(request)
             case api.Fail():
                 if (request := self._open.get(action.id)) and not request.ended:
                     self._reason(action, cause, request)
                     self._fail(request, "no answer that can be relied on")
+                    self._withdraw(request)
             case api.Cancel():
                 request = self._open.get(action.id)
                 if request and (attempt := request.out.get(action.attempt)) and attempt.way:
--- a/yardbank/gateway/lines.py
+++ b/yardbank/gateway/lines.py
@@ -148,10 +148,8 @@
         probes, channel.probes = channel.probes, []
         for ask in probes:
             ask(connection)
-        waiting, channel.waiting = channel.waiting, {}
-        for attempt in waiting:
-            if not attempt.ended:
-                self._write(channel, attempt)
+        while channel.waiting:  # what still waits is lost along with the connection, if that breaks meanwhile
+            self._write(channel, next(iter(channel.waiting)))
 
     def _close(self, number: int) -> None:
         if (channel := self._channels.get(number)) and channel.connection is not None:
--- a/yardbank/gateway/link.py
+++ b/yardbank/gateway/link.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
-from yardbank.gateway.api import Connection, Position
+from yardbank.gateway.api import Connection, NotSentError, Position
 from yardbank.gateway.attempt import Attempt
 from yardbank.gateway.lines import Channel, Lines
+from yardbank.gateway.sending import Withheld
 
 __all__ = ["Attempt", "Way"]
 
@@ -17,9 +18,9 @@
 
     def submit(self, attempt: Attempt, until: int) -> None:
         """Send an attempt, now or when a connection for it is up; its end is reported through it."""
-        attempt.way = self
+        attempt.way, attempt.until = self, until
         if until <= self._now():
-            attempt.end("moot", None, "its time had run out")
+            attempt.end("moot", None, Withheld.EXPIRED.value)
             return
         place = self._place()
         if place.slot is None:
@@ -36,6 +37,20 @@
         else:
             self._write(channel, attempt)
 
+    def withdraw(self, why: Withheld, meant: Callable[[Attempt], bool]) -> None:
+        """Take back those of the attempts that wait for a connection which ``meant`` picks: they never ran."""
+        for channel in list(self._channels.values()):
+            for attempt in list(channel.waiting):
+                if not attempt.ended and meant(attempt):
+                    attempt.end("moot", None, why.value)
+
+    def withdraw_probes(self) -> None:
+        """Nobody is asked here any more: questions that wait for a connection end as never put."""
+        for channel in list(self._channels.values()):
+            waiting, channel.probes = channel.probes, []
+            for ask in waiting:
+                ask(None)
+
     def cancel(self, attempt: Attempt) -> None:
         """Stop waiting for one attempt; the server is told where it can be."""
         self._abandon(attempt)
@@ -105,10 +120,26 @@
             channel.connection.abandon(attempt.number)
 
     def _write(self, channel: Channel, attempt: Attempt) -> None:
+        """Write an attempt, unless something that has come between says otherwise."""
         assert channel.connection is not None
+        if (why := attempt.look(attempt)) is not None:
+            attempt.end("moot", None, why.value)
+        if attempt.ended:  # what was looked at may have ended it, too
+            channel.waiting.pop(attempt, None)
+            return
+        channel.waiting.pop(attempt, None)
         channel.out[attempt] = None
         try:
             attempt.number = channel.connection.submit(attempt.operation, attempt)
+        except NotSentError as problem:
+            self._let_go(channel, attempt, str(problem))
         except Exception as problem:  # one request's fault, not the connection's
             self._log.error("submit_error", server=self.server.name, error=repr(problem))
             attempt.end("error", None, "the request could not be written")
+
+    def _let_go(self, channel: Channel, attempt: Attempt, reason: str) -> None:
+        """A connection that takes nothing is gone: what is out there is lost with it, and this attempt never ran."""
+        connection = channel.connection
+        assert connection is not None and attempt.slot is not None
+        self._lost(attempt.slot, reason)
+        connection.close()
--- a/yardbank/gateway/probing.py
+++ b/yardbank/gateway/probing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any
 
 from yardbank import interface as api
@@ -104,6 +105,7 @@
 
     def _probe(self, server: int) -> None:
         """Ask a server, and along with it the one that tells where the log's head is."""
+        self._catch_up()
         way = self._ways.get(server)
         if way is None:
             self._events.append(api.Probed(server, "connect_failed", 0))
@@ -111,10 +113,14 @@
         asked_at = self._clock.now()
         got: dict[str, Any] = {"waiting": 1}
 
-        def arrived(position: Position | None, sent_at: int, status: str) -> None:
+        def arrived(at: Way, position: Position | None, sent_at: int, status: str) -> None:
+            there = self._ways.get(server)
+            if position is None and there is not None and there is not at:  # it has moved: it is asked there
+                there.probe(partial(arrived, there))
+                return
             got.update(position=position, sent_at=sent_at, status=status)
             if position is not None:
-                self._told(server, way, position, sent_at)
+                self._told(server, at, position, sent_at)
             one_less()
 
         def one_less() -> None:
@@ -130,7 +136,7 @@
         if reference is not None and reference in self._ways:
             got["waiting"] += 1
             self._ask_reference(reference, one_less)
-        way.probe(arrived)
+        way.probe(partial(arrived, way))
         self._watch_idle()
 
     def _ask_reference(self, server: int, then: Callable[[], None]) -> None:
--- a/yardbank/gateway/reach.py
+++ b/yardbank/gateway/reach.py
@@ -4,15 +4,23 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
+from functools import partial
 
 from yardbank import interface as api
 from yardbank.gateway.api import ServerSpec
 from yardbank.gateway.clock import started_at
 from yardbank.gateway.core import Core
-from yardbank.gateway.link import Way
+from yardbank.gateway.link import Attempt, Way
+from yardbank.gateway.sending import Withheld
 from yardbank.timeline import Mark
 
 
+def _turns(old: ServerSpec, new: ServerSpec) -> bool:
+    """Whether a server begins to drain, moves, or is another one for the decision module."""
+    drains = old.state != "draining" and new.state == "draining"
+    return drains or (old.host, old.port, old.group, old.zone) != (new.host, new.port, new.group, new.zone)
+
+
 class Reach(Core):
     """Servers by name and number, and a way to each."""
 
@@ -46,11 +54,23 @@
         self.apply_changes(changes, version)
 
     def apply_changes(self, changes: Mapping[str, ServerSpec | None], version: int = 0) -> None:
-        """Take what changes of the list, by server name (None: it is gone); the cost is that of the change."""
+        """Take what changes of the list, by server name (None: it is gone); the cost is that of the change.
+
+        What waits for a connection to a server that begins to drain, moves or is gone is taken back at once. May be
+        called at any time, also while the module's actions are carried out: it hears of the list in its turn.
+        """
+        busy, self._busy_with_lists = self._busy_with_lists, True
+        try:
+            self._apply(changes, version)
+        finally:
+            self._busy_with_lists = busy
+
+    def _apply(self, changes: Mapping[str, ServerSpec | None], version: int) -> None:
         now, wall = self._clock.now(), self._wall()
         members: list[api.Member] = []
         left: list[api.Member] = []
         gone: list[str] = []
+        turned: dict[int, Way | None] = {}  # no longer what attempts were decided on for, and the way there
         first = not self._specs
         for name, spec in changes.items():
             old = self._specs.get(name)
@@ -59,11 +79,14 @@
             if spec is None:
                 assert old is not None
                 gone.append(name)
+                turned[self._servers[name]] = self._ways.get(self._servers[name])
                 members.append(api.Member(self._servers[name], old.zone, self._groups[old.group], False, "gone"))
                 del self._specs[name]
                 continue
             number = self._servers.setdefault(name, len(self._servers) + 1)
             group = self._groups[spec.group] if spec.group in self._groups else self._new_group(spec.group)
+            if old and _turns(old, spec):
+                turned[number] = self._ways.get(number)
             if old and (old.group, old.zone) != (spec.group, spec.zone):  # for the module it is another server
                 left.append(api.Member(number, old.zone, self._groups[old.group], False, "gone"))
             if old and (old.host, old.port, old.group) != (spec.host, spec.port, spec.group):
@@ -84,13 +107,25 @@
         if self._record:
             self._note("list", version=version, servers={name: spec.state for name, spec in self._specs.items()})
         self.log.info("list_applied", servers=len(self._specs), changed=len(members), gone=gone[:20])
-        if left:
-            self._handle(api.ServerList("delta", tuple(left)))
-        self._handle(api.ServerList("saved" if first else "delta", tuple(members)))
+        told = [api.ServerList("delta", tuple(left))] if left else []
+        told.append(api.ServerList("saved" if first else "delta", tuple(members)))
+        self._lists_put += len(told)
+        self._changed_in.update(dict.fromkeys(turned, self._lists_put))
+        for event in told:
+            self._handle(event)
         for name in gone:
             self._positions.dropped(self._servers[name])
             self._passed.dropped(self._servers[name])
             self._retire(self._servers[name])
+        for number, way in turned.items():
+            if way is not None:
+                way.withdraw(Withheld.SUPERSEDED, partial(self._superseded, number))
+                if self._ways.get(number) is not way:
+                    way.withdraw_probes()
+
+    def _superseded(self, number: int, attempt: Attempt) -> bool:
+        """Whether an attempt was decided on before its server last began to drain, moved or was gone."""
+        return attempt.list_seen < self._changed_in.get(number, 0)
 
     def _retire(self, number: int) -> None:
         """Nothing new goes this way; what is out there may still be answered, then its connections close."""
--- a/yardbank/gateway/request.py
+++ b/yardbank/gateway/request.py
@@ -13,8 +13,8 @@
     """A request that is owed its answer, or whose attempts are still out."""
 
     __slots__ = (
-        "answering", "attempts", "call", "ended", "gathered", "id", "kind", "list_version", "may_have_run", "missed",
-        "out", "parts", "stream_timer", "taken_at",
+        "answering", "attempts", "call", "ended", "gathered", "id", "kind", "list_version", "missed", "out", "parts",
+        "ran_at", "stream_timer", "taken_at",
     )  # fmt: skip
 
     def __init__(self, number: str, call: Call, kind: api.RequestClass, now: int, list_version: int) -> None:
@@ -26,5 +26,20 @@
         self.gathered: dict[int, int] = {}  # octets
         self.answering: int | None = None  # the attempt whose answer has begun to reach the client
         self.stream_timer: int | None = None
-        self.may_have_run = self.ended = False
+        self.ended = False
+        self.ran_at: int | None = None  # when the earliest attempt that has ended and may have run was issued (ns)
         self.missed: Any = None  # what a copy answered along with a miss: it stands if no server answers otherwise
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt has ended that may have run."""
+        return self.ran_at is not None
+
+    def ran(self, issued: int) -> None:
+        """An attempt issued at that instant (ns) has ended, and may have run."""
+        self.ran_at = issued if self.ran_at is None else min(self.ran_at, issued)
+
+    def first_issue(self) -> int | None:
+        """When the earliest attempt was issued that may have run or is out (ns); None: there is none."""
+        issued = [attempt.sent_at for attempt in self.out.values() if attempt.gone_out]
+        return min(issued, default=self.ran_at) if self.ran_at is None else min([self.ran_at, *issued])
