A statement is written at once, and one of which nothing was taken never ran

Cause, seen in reading and confirmed by tests that failed first: ServerConnection.submit set Operation.sent and handed the statement to transport.write, which only buffers; the write came a turn of the reactor later, after the connection may have broken. A reset that lay in the socket made an unsafe request one that may have run, and its client was told "failed" of what had never left. Likewise a connection whose end came right behind its welcome was written to.

Change: submit writes with FileDescriptor.writeSomeData; only what the system does not take goes through transport.write, and so does whatever follows as long as the connection lives. If nothing is taken as the connection is gone, NotSentError: Way ends the attempt as connect_failed, lets the connection go and loses what waits for it. A connection that has just opened is asked whether it is fit before it is written to. A partial write counts as sent.

--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -6,7 +6,7 @@
 from tests.gateway_place import KEYED, READ, WRITE, FakeBackend, FakeConnection, Sink
 from tests.platform_kit import Log
 from yardbank.gateway import Call, Gateway, Reply, ServerSpec
-from yardbank.gateway.api import BROKE_OPENING, MS
+from yardbank.gateway.api import BROKE_OPENING, MS, NotSentError
 from yardbank.interface import Fail, Gone, Outcome, Probed, Refuse, Send, ServerList, SetTimer, Settings, Timer
 from yardbank.policy import Router
 
@@ -161,6 +161,25 @@
     assert sink.finals == ["served"] and "front_error" in [event for event, _ in place.log.lines]
 
 
+def test_what_waits_behind_an_attempt_that_finds_its_connection_broken_is_lost_with_it():
+    place = Place(router=Scripted)
+    place.router.script = lambda event: [Send(event.id, 1, 1 << 62)] if type(event).__name__ == "Request" else []
+    place.ask("write")
+    place.ask("write")
+    tried = []
+
+    class Broken(FakeConnection):
+        def submit(self, operation, receiver):
+            tried.append(operation)
+            raise NotSentError("broken")
+
+    _, ready, lost = place.backend.waiting[0]
+    made = Broken(place.backend, LONE, lost)
+    ready(made)
+    assert place.statuses() == ["connect_failed", "connect_failed"] and len(tried) == 1 and made.closed
+    assert place.gateway.server_connections == 0
+
+
 def test_an_attempt_whose_time_passed_while_the_process_stood_still_is_not_written():
     place = Place()
     sink = place.ask()
--- /dev/null
+++ b/tests/test_crossings_writes.py
@@ -0,0 +1,158 @@
+"""Crossings of a statement's write and the end of its connection, on real sockets."""
+
+import socket
+import struct
+from types import SimpleNamespace
+
+import pytest
+from twisted.internet.error import ConnectionLost
+from twisted.internet.task import Clock
+from twisted.internet.tcp import Connection as TcpConnection
+from twisted.internet.testing import StringTransport
+
+from tests.platform_kit import AUTHENTICATED, KINDS, WRITE, Log
+from yardbank.gateway import Limits, ServerSpec
+from yardbank.gateway.api import MS, SECOND, NotSentError
+from yardbank.gateway.deadlines import Deadlines
+from yardbank.gateway.link import Attempt, Way
+from yardbank.platform.backend import Operation, ServerConnection
+from yardbank.platform.statement import read_statement
+
+
+class Turns:
+    """A reactor that runs no turn by itself: what is buffered stays so until the test writes it."""
+
+    def __init__(self):
+        self.readers, self.writers = set(), set()
+        self.addReader, self.addWriter = self.readers.add, self.writers.add
+        self.removeReader, self.removeWriter = self.readers.discard, self.writers.discard
+
+    def callLater(self, delay, call, *args):
+        return SimpleNamespace(cancel=lambda: None, active=lambda: False)
+
+
+class Server:
+    """A connection of the program's own over TCP, with Twisted's transport; ``far`` is the server's end."""
+
+    def __init__(self, ready=lambda made: None, lost=lambda reason: None):
+        with socket.create_server(("127.0.0.1", 0)) as listening:
+            near = socket.create_connection(listening.getsockname())
+            self.far, _ = listening.accept()
+        near.setblocking(False)
+        self.reactor = Turns()
+        self.connection = ServerConnection(lambda: 0, ready, lost)
+        self.transport = TcpConnection(near, self.connection, self.reactor)
+        self.transport.connected = True
+        self.transport.getPeer = self.transport.getHost = lambda: None
+        self.connection.makeConnection(self.transport)
+        self.transport.doWrite()  # the words of start
+        assert b"backend" in self.far.recv(1000)
+
+    def up(self):
+        """It has taken the connection."""
+        self.connection.dataReceived(AUTHENTICATED)
+        return self
+
+    def reset(self):
+        """The server's reset lies in the socket before anything is read from it."""
+        self.far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.far.close()
+
+
+def operation():
+    return Operation(read_statement(WRITE, KINDS), 400 * MS)
+
+
+def test_a_statement_has_left_when_its_write_returns():
+    server, asked = Server().up(), operation()
+    server.connection.submit(asked, None)
+    server.far.settimeout(30)
+    assert asked.sent and b"INSERT" in server.far.recv(1000) and not server.reactor.writers
+
+
+def test_a_statement_of_which_the_system_took_nothing_was_not_sent():
+    server, asked = Server().up(), operation()
+    server.reset()
+    with pytest.raises(NotSentError):
+        server.connection.submit(asked, None)
+    assert not asked.sent and not server.connection.fit() and not server.reactor.writers
+
+
+def test_what_the_system_takes_in_part_was_sent_and_the_rest_follows_in_order():
+    server, asked = Server().up(), operation()
+    write, taken = server.transport.writeSomeData, []
+    server.transport.writeSomeData = lambda data: taken.append(write(data[:10])) or taken[-1]
+    server.connection.submit(asked, None)
+    assert asked.sent and taken == [10] and server.reactor.writers
+    server.reset()
+    server.transport.writeSomeData = write
+    assert isinstance(server.transport.doWrite(), ConnectionLost) and asked.sent
+
+
+def test_what_follows_a_rest_goes_behind_it():
+    server = Server().up()
+    write = server.transport.writeSomeData
+    server.transport.writeSomeData = lambda data: write(data[:10])
+    server.connection.submit(operation(), None)
+    server.transport.writeSomeData = write
+    server.connection._put(b"next")
+    server.far.settimeout(30)
+    assert server.far.recv(1000)[1:].startswith(b"\0\0\0") and server.reactor.writers
+    server.transport.doWrite()
+    assert server.far.recv(1000).endswith(b"next")
+
+
+def test_a_transport_without_writes_of_its_own_is_written_through():
+    made, transport = ServerConnection(lambda: 0, lambda made: None, lambda reason: None), StringTransport()
+    asked = operation()
+    transport.setTcpNoDelay = lambda on: None
+    made.makeConnection(transport)
+    made.dataReceived(AUTHENTICATED)
+    made.submit(asked, None)
+    assert asked.sent and b"INSERT" in transport.value()
+
+
+class Servers:
+    """Opens connections over sockets, that come up when the test says so."""
+
+    def __init__(self):
+        self.made = []
+
+    def connect(self, server, ready, lost):
+        self.made.append(Server(ready, lost))
+        return self.made[-1].transport.abortConnection
+
+
+def test_a_connection_that_ends_right_behind_its_welcome_is_written_nothing():
+    clock, servers, ends = Clock(), Servers(), []
+    now = lambda: int(clock.seconds() * SECOND)  # noqa: E731
+    way = Way(ServerSpec("p", "2", "a", "h", 1, True), servers, Limits(multiplex=1), Deadlines(now, clock.callLater), now,
+              Log())  # fmt: skip
+    asked = operation()
+    way.submit(Attempt(asked, now(), lambda *a: None, lambda *a: ends.append(a[0])), SECOND)
+    servers.made[0].far.shutdown(socket.SHUT_WR)  # in good order: a write would succeed
+    servers.made[0].up()
+    assert ends == ["connect_failed"] and not asked.sent and way.connections == 0
+
+
+def test_an_unsafe_request_of_which_nothing_was_taken_never_ran_and_its_connection_is_let_go():
+    clock, servers, ends = Clock(), Servers(), []
+    now = lambda: int(clock.seconds() * SECOND)  # noqa: E731
+    way = Way(ServerSpec("p", "2", "a", "h", 1, True), servers, Limits(multiplex=1), Deadlines(now, clock.callLater), now,
+              Log())  # fmt: skip
+    asked = operation()
+
+    def ended(status, reply, reason):
+        ends.append((status, way.connections))
+
+    way.submit(Attempt(asked, now(), lambda *a: None, ended), SECOND)
+    servers.made[0].reset()  # behind the welcome, and unread
+    servers.made[0].connection.fit = lambda: True  # as if it came between the look and the write
+    servers.made[0].up()
+    assert ends == [("connect_failed", 0)] and not asked.sent
+    way.submit(Attempt(asked, now(), lambda *a: None, ended), SECOND)
+    servers.made[1].up()
+    assert asked.sent and len(ends) == 1 and b"INSERT" in servers.made[1].far.recv(1000)
+    servers.made[1].reset()
+    servers.made[1].connection.connectionLost()
+    assert [status for status, _ in ends] == ["connect_failed", "reset"] and way.connections == 0
--- a/yardbank/gateway/lines.py
+++ b/yardbank/gateway/lines.py
@@ -80,6 +80,13 @@
         for channel in list(self._channels.values()):
             channel.give_up()
 
+    def _let_go(self, number: int, reason: str) -> None:
+        """A connection takes nothing: what is out there is lost with it, and what still waits for it never ran."""
+        connection = self._channels[number].connection
+        assert connection is not None
+        self._lost(number, reason)
+        connection.close()
+
     def _write(self, channel: Channel, attempt: Attempt) -> None:
         raise NotImplementedError  # the layer above sends
 
@@ -148,6 +155,8 @@
         probes, channel.probes = channel.probes, []
         for ask in probes:
             ask(connection)
+        if channel.waiting and not connection.fit():  # its end may have come right behind its beginning
+            self._let_go(number, "of no further use")
         while channel.waiting:  # what still waits is lost along with the connection, if that breaks meanwhile
             self._write(channel, next(iter(channel.waiting)))
 
--- a/yardbank/gateway/link.py
+++ b/yardbank/gateway/link.py
@@ -32,9 +32,8 @@
         channel = self._open(place.slot) if place.opening else self._channels[place.slot]
         if attempt.ended:
             return
-        if channel.connection is None:
-            channel.waiting[attempt] = None
-        else:
+        channel.waiting[attempt] = None
+        if channel.connection is not None:
             self._write(channel, attempt)
 
     def withdraw(self, why: Withheld, meant: Callable[[Attempt], bool]) -> None:
@@ -122,24 +121,17 @@
     def _write(self, channel: Channel, attempt: Attempt) -> None:
         """Write an attempt, unless something that has come between says otherwise."""
         assert channel.connection is not None
-        if (why := attempt.look(attempt)) is not None:
+        if not attempt.ended and (why := attempt.look(attempt)) is not None:
             attempt.end("moot", None, why.value)
+        channel.waiting.pop(attempt, None)
         if attempt.ended:  # what was looked at may have ended it, too
-            channel.waiting.pop(attempt, None)
             return
-        channel.waiting.pop(attempt, None)
         channel.out[attempt] = None
         try:
             attempt.number = channel.connection.submit(attempt.operation, attempt)
         except NotSentError as problem:
-            self._let_go(channel, attempt, str(problem))
+            assert attempt.slot is not None
+            self._let_go(attempt.slot, str(problem))
         except Exception as problem:  # one request's fault, not the connection's
             self._log.error("submit_error", server=self.server.name, error=repr(problem))
             attempt.end("error", None, "the request could not be written")
-
-    def _let_go(self, channel: Channel, attempt: Attempt, reason: str) -> None:
-        """A connection that takes nothing is gone: what is out there is lost with it, and this attempt never ran."""
-        connection = channel.connection
-        assert connection is not None and attempt.slot is not None
-        self._lost(attempt.slot, reason)
-        connection.close()
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -11,7 +11,7 @@
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
-from yardbank.gateway.api import BROKE_OPENING, Connection, Position, Receiver, Reply, ServerSpec
+from yardbank.gateway.api import BROKE_OPENING, Connection, NotSentError, Position, Receiver, Reply, ServerSpec
 from yardbank.gateway.dial import dial
 from yardbank.platform.server import PROBE, ServerSession
 from yardbank.platform.statement import Statement
@@ -23,7 +23,7 @@
 
     statement: Statement
     expires: int
-    sent: bool = False  # it was written to a connection to a server
+    sent: bool = False  # the system has taken octets of it for a server, or may yet
 
 
 class ServerConnection(Protocol):
@@ -39,6 +39,7 @@
         self._receiver: Receiver | None = None
         self._probed: Callable[[Position | None], None] | None = None
         self._over = self._spent = False
+        self._backlog = False  # the transport holds octets back: what follows has to go through it
 
     def connectionMade(self) -> None:
         """Say who we are."""
@@ -94,12 +95,25 @@
     # gateway.api.Connection
 
     def submit(self, operation: Operation, receiver: Receiver) -> int:
-        """Send one statement."""
-        statement, operation.sent = operation.statement, True
-        self.transport.write(self._session.ask(statement.text(operation.expires - self._now()), statement.write))
-        self._receiver = receiver
+        """Send one statement; raises ``NotSentError`` where the connection broke and no octet of it was taken."""
+        statement = operation.statement
+        self._put(self._session.ask(statement.text(operation.expires - self._now()), statement.write))
+        operation.sent, self._receiver = True, receiver
         return 0
 
+    def _put(self, octets: bytes) -> None:
+        """Write at once: a transport's own write waits for the next turn, and breaks unseen until then."""
+        write_some = getattr(self.transport, "writeSomeData", None)
+        if write_some is not None and not self._backlog:
+            taken = write_some(octets)
+            if not isinstance(taken, int):  # the reason why the connection is gone
+                self._spent = True
+                raise NotSentError(f"nothing could be written: {taken}")
+            octets = octets[taken:]
+            self._backlog = bool(octets)
+        if octets:
+            self.transport.write(octets)
+
     def abandon(self, number: int) -> None:
         """Stop waiting: the connection is spent, and is closed when its place is given back.
 
