A deadline that is due lets the sockets be read once more before it fires

Cause, seen in reading and confirmed by a test that failed first: Deadlines._run fired from the reactor's timer, and reactors run timers before they read sockets. After a turn that took long, an answer that lay in the socket lost against its own deadline, a list against the retry that it forbids, a client's end against the repeat. An error in one callback left the later ones unarmed for good, as _run ended before it armed again.

Change: as platform/watch.py does, a timer that is due only lets the sockets be read (callLater(0)); what was due then fires in the turn after, and what falls due meanwhile gets a look of its own. clear() calls both off. An error goes up after the rest are armed again. On Twisted's Clock all of it stays in the same instant.

--- a/yardbank/gateway/deadlines.py
+++ b/yardbank/gateway/deadlines.py
@@ -1,4 +1,9 @@
-"""Many time-outs, one timer: a heap of instants of which only the earliest is armed."""
+"""Many time-outs, one timer: a heap of instants of which only the earliest is armed.
+
+A reactor runs timers before it reads its sockets, and after a busy turn both are due at once. So a timer that is due
+only lets the sockets be read once more; what is due then fires in the turn after. An answer that lies in a socket comes
+before its deadline, a list before the retry that it forbids.
+"""
 
 from __future__ import annotations
 
@@ -11,7 +16,7 @@
 
 
 class Deadlines:
-    """Calls back at or after instants (ns). What was cancelled costs nothing when its time comes."""
+    """Calls back at or after instants (ns), once the sockets were looked at since. What was cancelled costs nothing."""
 
     def __init__(self, now: Callable[[], int], call_later: Callable[..., Any]) -> None:
         self._now, self._call_later = now, call_later
@@ -20,6 +25,7 @@
         self._numbers = count()
         self._armed: Any = None
         self._armed_for = 0
+        self._looking = False  # something is due: the sockets come first
 
     def __len__(self) -> int:
         return len(self._fire)
@@ -29,7 +35,7 @@
         number = next(self._numbers)
         self._fire[number] = fire
         heapq.heappush(self._heap, (at, number))
-        if self._armed is None or at < self._armed_for:
+        if self._armed is None or (at < self._armed_for and not self._looking):
             self._arm()
         return number
 
@@ -45,7 +51,7 @@
         self._fire.clear()
         if self._armed is not None:
             self._armed.cancel()
-            self._armed = None
+            self._armed, self._looking = None, False
 
     def _arm(self) -> None:
         if self._armed is not None:
@@ -55,14 +61,22 @@
             heapq.heappop(self._heap)
         if self._heap:
             self._armed_for = self._heap[0][0]
-            self._armed = self._call_later(max(0, self._armed_for - self._now()) / 1e9, self._run)
+            self._armed = self._call_later(max(0, self._armed_for - self._now()) / 1e9, self._due)
 
-    def _run(self) -> None:
-        self._armed = None
+    def _due(self) -> None:
+        """Have the sockets read once more; what is due by now, and nothing that falls due meanwhile, fires then."""
         now = self._now()
-        while self._heap and self._heap[0][0] <= now:
-            fire = self._fire.pop(heapq.heappop(self._heap)[1], None)
-            if fire is not None:
-                fire()
-        if self._armed is None:
-            self._arm()
+        self._looking = True
+        self._armed = self._call_later(0, lambda: self._run(now))
+
+    def _run(self, now: int) -> None:
+        """Fire what was due at ``now`` (ns). An error in one goes up; the others stay armed."""
+        self._armed, self._looking = None, False
+        try:
+            while self._heap and self._heap[0][0] <= now:
+                fire = self._fire.pop(heapq.heappop(self._heap)[1], None)
+                if fire is not None:
+                    fire()
+        finally:
+            if self._armed is None:
+                self._arm()
