--- a/tests/platform_kit.py
+++ b/tests/platform_kit.py
@@ -158,12 +158,16 @@
     return made, reactor, log, file
 
 
-def serving(tmp_path, discovery, *flags):
-    """The program on a free port, up: its process, the port, the lines that it has written, its file."""
+def serving(tmp_path, discovery, *flags, **change):
+    """The program on a free port, up: its process, the port, the lines that it has written, its file.
+
+    ``change``: fields of its file that are others than ``CONFIG`` has.
+    """
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
     file = tmp_path / "config.json"
-    file.write_bytes(orjson.dumps({**CONFIG, "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}"}))
+    here = {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}"}
+    file.write_bytes(orjson.dumps({**CONFIG, **here, **change}))
     process = subprocess.Popen(
         [sys.executable, *flags, "-m", "yardbank.platform"], env={**os.environ, "NODE_CONFIG": str(file)},
         stderr=subprocess.PIPE,
