A statement given up with a rest unwritten: ruled out by a test

Need: octets of an attempt that is abandoned could still go out from the transport's buffer, or its late answer reach somebody. Ruled out: the connection is spent, its place's return aborts it, the rest is dropped, the answer is nobody's.

--- a/tests/test_crossings_writes.py
+++ b/tests/test_crossings_writes.py
@@ -10,7 +10,7 @@
 from twisted.internet.tcp import Connection as TcpConnection
 from twisted.internet.testing import StringTransport
 
-from tests.platform_kit import AUTHENTICATED, KINDS, WRITE, Log
+from tests.platform_kit import AUTHENTICATED, KINDS, READY, WRITE, Log, row
 from yardbank.gateway import Limits, ServerSpec
 from yardbank.gateway.api import MS, SECOND, NotSentError
 from yardbank.gateway.deadlines import Deadlines
@@ -156,3 +156,18 @@
     servers.made[1].reset()
     servers.made[1].connection.connectionLost()
     assert [status for status, _ in ends] == ["connect_failed", "reset"] and way.connections == 0
+
+
+def test_the_rest_of_a_statement_that_is_given_up_is_never_written_and_a_late_answer_is_nobodys():
+    told = []
+    server, asked = Server(lost=lambda reason: told.append("lost")).up(), operation()
+    write = server.transport.writeSomeData
+    server.transport.writeSomeData = lambda data: write(data[:10])
+    receiver = SimpleNamespace(attempt_done=told.append, attempt_lost=told.append)
+    number = server.connection.submit(asked, receiver)
+    server.connection.abandon(number)
+    assert not server.connection.fit() and told == []
+    server.connection.dataReceived(row(tag="INSERT 0 1") + READY)
+    server.connection.close()  # as its place is given back
+    assert told == ["lost"] and not server.reactor.writers and not server.reactor.readers
+    assert len(server.far.recv(1000)) == 10 and asked.sent
