--- a/yardbank/audit/record.py
+++ b/yardbank/audit/record.py
@@ -1,8 +1,10 @@
 """Records: JSON lines, each a fact with the machine's steady time ``at`` (seconds) and its ``kind``.
 
-From clients: ``sent`` (tag, need, deadline), ``answer``, ``unasked``, ``lost``, ``left``. From stand-ins:
-``received``, ``full``, ``applied``, ``answered``, ``elected``, ``start``. From the operator's side: ``told``
-(what a gateway was told of a server, and when), ``killed`` (a gateway was).
+From clients: ``sent`` (tag, need, deadline), ``answer``, ``unasked``, ``lost``, ``left``, ``opened``,
+``cancelled``. From stand-ins: ``received``, ``full``, ``applied``, ``answered``, ``elected``, ``start``. From relays:
+``reached`` (a client's end, or a cancelling, lay in the gateway's socket), ``begun`` (an attempt, by its first octet).
+From the operator's side: ``listed`` (what discovery had of a server for a gateway), ``discovery`` (whether it could be
+reached), ``told`` (what was written to a gateway of a server, and when), ``killed`` (a gateway was).
 """
 
 from __future__ import annotations
@@ -17,7 +19,9 @@
     "left": ("client",), "received": ("server", "tag", "op"), "full": ("server", "tag"),
     "applied": ("server", "suffix", "csn", "tag"), "answered": ("server", "tag", "code"),
     "elected": ("server", "suffix", "lost"), "start": ("server", "cold_s", "cold_share", "per_s"),
-    "told": ("server", "state"),
+    "told": ("server", "state"), "opened": ("client", "port"), "cancelled": ("client", "tag"),
+    "reached": ("gateway", "port", "what", "message"), "begun": ("gateway", "server", "tag", "op"),
+    "listed": ("gateway", "server", "state"), "discovery": ("gateway", "reached"), "rig_late": ("by",),
 }  # fmt: skip
 
 
--- a/yardbank/audit/rules.py
+++ b/yardbank/audit/rules.py
@@ -40,6 +40,8 @@
             if asked is not None and not excuses.silence(asked.get("gateway", ""), asked["at"], fact["at"]):
                 rule.judged += 1
                 rule.found.append(f"not answered in time: {frame(asked)}; {frame(fact)}")
+        elif kind == "cancelled":  # by the protocol's own means: no answer is owed
+            open_by[client].pop(fact["tag"], None)
         elif kind == "left":
             open_by[client].clear()  # its own choice: nothing is owed any more
         elif kind == "lost":
--- a/yardbank/rig/acting.py
+++ b/yardbank/rig/acting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from random import Random
 from typing import Any
 
 from yardbank.rig.roster import DOWN, ENDING
@@ -39,6 +40,8 @@
                     self.places[name].ask(due.step)
             elif due.step.do in ("tell", "hold"):
                 self._list_step(due)
+            elif due.step.do == "leave":
+                self._leave_step(due.step)
             else:
                 self._server_step(due)
         self._wind()
@@ -100,14 +103,22 @@
         if step.do == "hold":
             for gateway in matching(step.who, list(self.places)):
                 self._held[gateway] = self._held.get(gateway, 0) + (1 if due.begin else -1)
+                self.record({"kind": "discovery", "gateway": gateway, "reached": not self._held[gateway]})
                 self._tell(gateway)
             return
         for gateway in matching(step.gateways, list(self.places)):
             for server in matching(step.who, list(self.listed[gateway])):
                 state = step.state if due.begin else "ready"
                 self.listed[gateway][server].state = state
-                self.record({"kind": "told", "gateway": gateway, "server": server, "state": state})
-            self._tell(gateway)
+                self.record({"kind": "listed", "gateway": gateway, "server": server, "state": state})
+            self.reactor.callLater(step.late / 1e9, self._tell, gateway) if step.late else self._tell(gateway)
+
+    def _leave_step(self, step: Step) -> None:
+        if self.drive is None:
+            return
+        gateways, random = matching(step.gateways, list(self.places)), Random(f"{self.seed}/{step.name}")
+        left = self.drive.depart(gateways, step.share, step.means, random)
+        self.record({"kind": "departed", "step": step.name, "clients": left})
 
     def _server_step(self, due: Due) -> None:
         step, servers = due.step, self.scenario.servers()
--- a/yardbank/rig/blocks.py
+++ b/yardbank/rig/blocks.py
@@ -73,6 +73,7 @@
     length: Duration = 5_000_000_000
     longest: Duration = 0  # goes on up to this until all is quiet: steps over, processes up, rollouts settled
     rest: Duration = 2_000_000_000  # and so long beyond that
+    uneven: Annotated[float, Field(ge=1, le=100)] = 1.0  # the first gateway has so many times the last one's clients
     writes: Annotated[float, Field(ge=0, le=1)] = 0.3
     session: Duration = 1_000_000_000  # a client's connection lives so long on average, then it goes elsewhere
     retries: Annotated[int, Field(ge=0, le=10, strict=True)] = 2
--- a/yardbank/rig/client.py
+++ b/yardbank/rig/client.py
@@ -19,6 +19,7 @@
 
 Record = Callable[[dict[str, Any]], None]
 LOST = -1  # in place of a result code: the connection went first
+GONE = -2  # or the client itself did, or wanted no answer any more
 
 
 @dataclass(slots=True)
@@ -51,13 +52,20 @@
         self._asked: dict[int, _Asked] = {}
         self._record = record
         self.gone = False
-        self._leaving = False
+        self._leaving = self._departed = False
         self.reason = ""
 
     def connectionMade(self) -> None:
         """No delay for small messages."""
         if hasattr(self.transport, "setTcpNoDelay"):
             self.transport.setTcpNoDelay(True)
+        if hasattr(self.transport, "getHost"):
+            self._note("opened", port=getattr(self.transport.getHost(), "port", 0))
+
+    @property
+    def owed(self) -> int:
+        """Requests without their final answer."""
+        return len(self._asked)
 
     def _note(self, kind: str, **facts: Any) -> None:
         if self._record:
@@ -124,7 +132,7 @@
         self._note("lost", reason=self.reason or reason.getErrorMessage())
         asked, self._asked = self._asked, {}
         for one in asked.values():
-            one.done.callback(Answer(LOST, "the connection went"))
+            one.done.callback(Answer(GONE if self._departed else LOST, "the connection went"))
 
     def leave_when_answered(self) -> None:
         """Ask nothing more; close as soon as nothing is owed."""
@@ -135,6 +143,25 @@
         if self._leaving and not self._asked and not self.gone:
             self.leave()
 
+    def depart(self, means: str) -> None:
+        """Want no answer any more: "close" (FIN) or "reset" the connection, or "abandon" what is outstanding on it."""
+        if means == "abandon":
+            asked, self._asked = self._asked, {}
+            self.transport.write(b"".join(self._end.abandon(number) for number in asked))
+            for one in asked.values():
+                if one.tag:
+                    self._note("cancelled", tag=one.tag)
+                one.done.callback(Answer(GONE, "given up"))
+            self._look()
+            return
+        self._departed = True
+        if means == "reset":
+            self.leave()
+            return
+        self._note("left")
+        self.gone = True
+        self.transport.loseConnection()
+
     def leave(self) -> None:
         """Close without a word: the client has gone, and asks nothing more on this connection."""
         self._note("left")
--- a/yardbank/rig/cross.py
+++ b/yardbank/rig/cross.py
@@ -60,6 +60,10 @@
             found.append((("step", index, "do"), f'step "{step.name}": do: needs fleet {{ rollout = true }}'))
     found += _circles(scenario) + _parts(scenario)
     for index, claim in enumerate(scenario.claim):
+        for step in scenario.step if claim.kind == "told" else ():
+            if step.late >= claim.bound:
+                reason = f'claim "{claim.name}": bound: step "{step.name}" tells later than that'
+                found.append((("claim", index, "bound"), reason))
         for claims, switch in _SWITCHES.items():
             if claim.kind in claims and not getattr(scenario.fleet, switch):
                 reason = f'claim "{claim.name}": kind: {claim.kind} needs fleet {{ {switch} = true }}'
--- a/yardbank/rig/load.py
+++ b/yardbank/rig/load.py
@@ -16,7 +16,7 @@
 STALENESS = 0.8
 GIVE_UP = 2.0  # so long after its deadline a client stops waiting and goes elsewhere
 AGAIN = {"refused": ("bounded", "session", "write"), "lost": ("bounded", "session"), "failed": ("bounded", "session"),
-         "silent": ()}  # fmt: skip
+         "silent": (), "gone": ()}  # fmt: skip
 
 
 @dataclass(slots=True, frozen=True)
@@ -74,7 +74,14 @@
     return now + random.expovariate(1e9 / load.session)
 
 
-def next_gateway(gateways: Sequence[str], last: str, random: Random) -> str:
-    """Where a client goes whose last connection went: elsewhere, if there is an elsewhere."""
+def next_gateway(gateways: Sequence[str], last: str, random: Random, uneven: float = 1.0) -> str:
+    """Where a client goes whose last connection went: elsewhere, if there is an elsewhere.
+
+    The first gateway is chosen ``uneven`` times as often as the last, those between them by even steps.
+    """
     others = [name for name in gateways if name != last] or list(gateways)
+    if uneven != 1.0:
+        step = (1 - uneven) / max(1, len(gateways) - 1)
+        weights = {name: uneven + index * step for index, name in enumerate(gateways)}
+        return random.choices(others, [weights[name] for name in others])[0]
     return others[random.randrange(len(others))]
--- a/yardbank/rig/play.py
+++ b/yardbank/rig/play.py
@@ -14,6 +14,7 @@
 from twisted.internet.defer import Deferred, DeferredList, inlineCallbacks
 
 from yardbank.rig.acting import Acting
+from yardbank.rig.claim import TERMS
 from yardbank.rig.drive import Drive
 from yardbank.rig.load import draw
 from yardbank.rig.processes import GuardianLost, ProgramMissing
@@ -124,7 +125,8 @@
         now = self.reactor.seconds()
         if now - due > LATE:
             self.record({"kind": "rig_late", "by": now - due})
-        if self.scenario.fleet.channels and not self._over:
+        judged = self.scenario.fleet.channels or any(claim.kind in TERMS for claim in self.scenario.claim)
+        if judged and not self._over:
             self.reactor.callLater(LOOK, self._look_late, now + LOOK)
 
     def _look_quiet(self, since: float) -> None:
--- a/yardbank/rig/record.py
+++ b/yardbank/rig/record.py
@@ -7,12 +7,15 @@
 from pathlib import Path
 from typing import Any
 
+from yardbank.files import write_whole
+
 
 class Recorder:
     """All facts, in memory and maybe in a file, stamped with the machine's steady time."""
 
     def __init__(self, path: Path | None = None) -> None:
         self.facts: list[dict[str, Any]] = []
+        self._path = path
         self._file = path.open("w", encoding="utf-8") if path else None
 
     def __call__(self, fact: dict[str, Any]) -> None:
@@ -36,8 +39,10 @@
                 self._file.write(line + "\n")
 
     def close(self) -> None:
-        """No more facts."""
+        """No more facts. The file is put in order of time as the facts are: a verdict names them by line."""
         self.facts.sort(key=lambda fact: fact["at"])
-        if self._file:
+        if self._file and self._path:
             self._file.close()
             self._file = None
+            lines = (json.dumps(fact, separators=(",", ":")) + "\n" for fact in self.facts)
+            write_whole(self._path, "".join(lines))
--- a/yardbank/rig/verdict.py
+++ b/yardbank/rig/verdict.py
@@ -9,8 +9,11 @@
 
 from yardbank.audit import changes, feeds, judge
 from yardbank.audit.claims import Finding, alive, belief, served, serves_again, unmoved, views
+from yardbank.audit.cold_sum import ColdBounds, cold_sum
+from yardbank.audit.gone import GoneBounds, gone_clients
 from yardbank.audit.judge import Bounds
 from yardbank.audit.record import Fact
+from yardbank.audit.told import ToldBounds, told_in_time
 from yardbank.audit.ways import charted
 from yardbank.rig.scenario import Claim, Scenario, matching
 
@@ -57,6 +60,13 @@
     return max((step.outage / 1e9 for step in scenario.step if step.do == "rollout"), default=0.0)
 
 
+def _given(claim: Claim, *fields: str) -> dict[str, Any]:
+    """Of these fields those that the claim gives, times in seconds; for the others the judge has its own."""
+    times = ("within", "late", "window", "bound", "grace")
+    values = {field: getattr(claim, field) for field in fields if field in claim.model_fields_set}
+    return {field: value / 1e9 if field in times else value for field, value in values.items()}
+
+
 _JUDGES: dict[str, Callable[[Sequence[Fact], Claim, Scenario], Finding]] = {
     "rules": lambda facts, claim, _: _rules(facts),
     "alive": lambda facts, claim, s: alive(facts, _gateways(claim, s)),
@@ -74,6 +84,13 @@
     "stages": lambda facts, claim, s: changes.stages(facts, _zones(s), claim.most, _outage(s)),
     "stopped": lambda facts, claim, s: changes.stopped(facts, _gateways(claim, s)),
     "advanced": lambda facts, claim, s: changes.advanced(facts, _gateways(claim, s)),
+    "gone_clients": lambda facts, claim, _: gone_clients(
+        facts, GoneBounds(**_given(claim, "within", "late", "cases", "share", "fewest"))
+    ),
+    "cold_sum": lambda facts, claim, _: cold_sum(
+        facts, ColdBounds(**_given(claim, "multiple", "window", "roots", "spare"))
+    ),
+    "told": lambda facts, claim, _: told_in_time(facts, ToldBounds(**_given(claim, "bound", "grace"))),
     "map": lambda facts, claim, s: charted(facts, _zones(s), claim.share, claim.within / 1e6),
 }
 
