--- a/tests/test_crossings_attempts.py
+++ b/tests/test_crossings_attempts.py
@@ -1,88 +1,12 @@
-"""Crossings of an attempt on its way out: its client leaves, its time passes, its server drains, its window closes."""
+"""Crossings of an attempt on its way out: its client leaves, its time passes, its request ends, its window closes."""
 
 import pytest
-from twisted.internet.task import Clock
 
-from tests.gateway_place import KEYED, READ, WRITE, FakeBackend, FakeConnection, Sink
-from tests.platform_kit import Log
-from yardbank.gateway import Call, Gateway, Reply, ServerSpec
+from tests.crossings_place import COPY, LONE, Place, Scripted
+from tests.gateway_place import FakeConnection
+from yardbank.gateway import Reply
 from yardbank.gateway.api import BROKE_OPENING, MS, NotSentError
-from yardbank.interface import Fail, Gone, Outcome, Probed, Refuse, Send, ServerList, SetTimer, Settings, Timer
-from yardbank.policy import Router
-
-LONE = ServerSpec("p", "g", "a", "h", 1, True)
-COPY = ServerSpec("c", "g", "a", "h", 2)
-DRAINS = ServerSpec("p", "g", "a", "h", 1, True, "draining")
-MOVED = ServerSpec("p", "g", "a", "h", 3, True)
-TURNS = pytest.mark.parametrize("turn", [DRAINS, None, MOVED], ids=["drains", "gone", "moved"])
-
-
-class Heard(Router):
-    """The decision module; keeps what it was told and what it said."""
-
-    def __init__(self, settings):
-        super().__init__(settings)
-        self.events, self.actions = [], []
-
-    def handle(self, now, event):
-        self.events.append(event)
-        actions = super().handle(now, event)
-        self.actions += actions
-        return actions
-
-
-class Scripted(Heard):
-    """Does what the test says of a request and of its attempts' ends."""
-
-    script = staticmethod(lambda event: [])
-
-    def handle(self, now, event):
-        self.events.append(event)
-        return self.script(event)
-
-
-class Place:
-    """A gateway whose connections open when the test says so."""
-
-    def __init__(self, *servers, router=Heard, **more):
-        self.clock, self.backend, self.log = Clock(), FakeBackend(), Log()
-        self.clock.advance(100)
-        self.backend.mode = "when told"
-        self.feed = []  # lists that lie unread
-        settings = Settings(1, "a", 1, (READ, WRITE, KEYED), reports="none", max_attempts=4, max_retry_after=100 * MS)
-
-        def made(settings):
-            self.router = router(settings)
-            return self.router
-
-        self.gateway = Gateway(
-            settings, self.backend, reactor=self.clock, seconds=self.clock.seconds, wall=self.clock.seconds,
-            log=self.log, router=made, before_send=self.catch_up, **more,
-        )  # fmt: skip
-        self.gateway.apply_list(servers or [LONE])
-
-    def catch_up(self):
-        while self.feed:
-            self.gateway.apply_changes(self.feed.pop(0))
-
-    def ask(self, class_name="read", present=None, operation="op"):
-        sink = Sink()
-        self.number = self.gateway.take(Call(class_name, "g", operation, sink, "s", present=present))
-        return sink
-
-    def up(self, at=0):
-        """A connection that was opening is up."""
-        server, ready, lost = self.backend.waiting[at]
-        made = FakeConnection(self.backend, server, lost)
-        self.backend.connections.append(made)
-        ready(made)
-        return made
-
-    def told(self, kind):
-        return [event for event in self.router.events if isinstance(event, kind)]
-
-    def statuses(self):
-        return [event.status for event in self.told(Outcome)]
+from yardbank.interface import Fail, Gone, Outcome, Refuse, Send, SetTimer, Timer
 
 
 @pytest.mark.parametrize("again", [False, True], ids=["first", "opened again"])
@@ -190,46 +114,6 @@
     assert place.statuses() == ["moot"]
 
 
-@TURNS
-@pytest.mark.parametrize("opens", [False, True], ids=["on an open connection", "on one that has just opened"])
-def test_a_list_that_lies_unread_is_taken_in_before_the_write(turn, opens):
-    place = Place(LONE, COPY, router=Scripted)
-    place.router.script = lambda event: (
-        [Send(event.id, 1, event.expires)] if type(event).__name__ == "Request" else
-        [Send(event.id, 2, 1 << 62)] if isinstance(event, Outcome) and event.status == "moot" else []
-    )  # fmt: skip
-    if not opens:
-        place.ask()
-        place.up().answer()
-    place.feed.append({"p": turn})
-    place.ask(operation="late")
-    if opens:
-        assert len(place.feed) == 1
-        place.up()
-    assert not place.feed and ("p", "late") not in place.backend.sent
-    lists = place.told(ServerList)
-    moot = next(event for event in place.told(Outcome) if event.status == "moot")
-    assert len(lists) == 2 and place.router.events.index(lists[1]) < place.router.events.index(moot)
-    place.up(-1)
-    assert place.backend.sent[-1] == ("c", "late")
-
-
-@TURNS
-def test_what_waits_for_a_connection_is_taken_back_when_its_server_turns(turn):
-    place = Place(LONE, COPY)
-    place.ask()
-    first, second = place.backend.waiting[0][0].name, {"p": "c", "c": "p"}[place.backend.waiting[0][0].name]
-    spec = {"p": LONE, "c": COPY}[first]
-    changed = turn and ServerSpec(first, "g", "a", "h", 3 if turn is MOVED else spec.port, spec.primary, turn.state)
-    place.gateway.apply_changes({first: changed})
-    assert place.statuses() == ["moot"] and len(place.backend.waiting) == 2
-    assert isinstance(place.router.events[-2], ServerList)
-    place.up(0)
-    assert place.backend.sent == []
-    place.up(1)
-    assert place.backend.sent == [(second, "op")]
-
-
 @pytest.mark.parametrize("end", ["refused", "failed"])
 def test_an_attempt_that_waits_is_taken_back_when_the_module_gives_its_request_up(end):
     place = Place(router=Scripted)
@@ -247,68 +131,6 @@
     assert place.backend.sent == []
 
 
-def test_what_the_drain_itself_has_sent_there_is_not_taken_back():
-    place = Place(router=Scripted)
-    place.router.script = lambda event: (
-        [Send(place.number, 1, 1 << 62)] if isinstance(event, ServerList) and place.router.events[1:] else []
-    )  # fmt: skip
-    place.ask()
-    place.gateway.apply_changes({"p": DRAINS})
-    place.up()
-    assert place.backend.sent == [("p", "op")] and place.statuses() == []
-
-
-def test_what_is_decided_on_with_the_drain_in_hand_goes_there():
-    place = Place(router=Scripted)
-    place.router.script = lambda event: [Send(event.id, 1, 1 << 62)] if type(event).__name__ == "Request" else []
-    place.gateway.apply_changes({"p": DRAINS})
-    place.ask()
-    place.gateway.apply_changes({"p": ServerSpec("p", "g", "a", "h", 1, True, "draining", weight=2.0)})
-    place.up()
-    assert place.backend.sent == [("p", "op")]
-
-
-def test_all_of_one_turn_that_were_decided_on_before_the_drain_are_withheld():
-    place = Place(router=Scripted)
-    ids = []
-
-    def script(event):
-        if type(event).__name__ == "Request":
-            ids.append(event.id)
-            return [Send(each, 1, 1 << 62) for each in ids] if len(ids) == 2 else []
-        return []
-
-    place.router.script = script
-    place.feed.append({"p": DRAINS})
-    place.backend.mode = "up"
-    place.ask()
-    place.ask()
-    assert place.backend.sent == [] and place.statuses() == ["moot", "moot"]
-
-
-def test_a_feed_that_fails_when_asked_holds_nothing_up():
-    place = Place()
-    place.feed = [{"nobody": None, "p": 1}]
-    sink = place.ask()
-    place.up().answer()
-    assert sink.finals == ["served"] and "before_send_error" in [event for event, _ in place.log.lines]
-
-
-@pytest.mark.parametrize("turn", [None, MOVED], ids=["gone", "moved"])
-def test_a_question_that_waits_for_a_connection_is_not_put_where_its_server_no_longer_is(turn):
-    place = Place()
-    told = []
-    place.gateway.ask("p", lambda position, at, status: told.append(status))
-    place.gateway._probe(1)
-    place.gateway.apply_changes({"p": turn})
-    assert told == ["moot"] and len(place.backend.waiting) == (1 if turn is None else 2)
-    assert [event.status for event in place.told(Probed)] == (["connect_failed"] if turn is None else [])
-    place.backend.position = None
-    assert place.up(0).probes == []
-    if turn is not None:
-        assert len(place.up(1).probes) == 1
-
-
 @pytest.mark.parametrize(
     ("class_name", "late", "goes"),
     [("keyed", 999 * MS, True), ("keyed", 1000 * MS, False), ("write", 0, False), ("read", 999 * MS, True)],
