Tests fitted to the parts joined: a listener of their own, a socket to look at, a guard taken out

Seen when the parts met: test_settings_spoilt.py listened on real ports (Service takes its listener as an argument now); test_platform_program.py gave a server's connection no socket, so that it counted as unfit; test_audit.py's module that repeats writes no longer gets through, as the gateway withholds what may have run.

--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -10,6 +10,7 @@
 from yardbank.audit.summary import by_class
 from yardbank.cli import main
 from yardbank.directory.codes import Code
+from yardbank.gateway import sending
 from yardbank.ldap import messages as m
 from yardbank.policy import Router
 from yardbank.standin.server import Capacity
@@ -68,7 +69,8 @@
         return held.attempts < 3
 
 
-def test_a_write_sent_twice_is_found():
+def test_a_write_sent_twice_is_found(monkeypatch):
+    monkeypatch.setattr(sending, "_repeat", lambda request, now: None)  # the gateway's own guard is out as well
     with world(router=Resends) as place:
         place.servers["n1"].faults.lose_next = 1
         desk = Desk(place)
@@ -78,6 +80,16 @@
         assert "sent again after it may have run" in guilty(place, "no_effect_twice")
 
 
+def test_a_decision_to_send_a_write_again_is_not_carried_out():
+    with world(router=Resends) as place:
+        place.servers["n1"].faults.lose_next = 1
+        desk = Desk(place)
+        assert desk.modify().code not in (Code.SUCCESS, Code.BUSY)
+        facts = place.record.facts
+        assert len([f for f in facts if f["kind"] == "applied" and f["tag"] == "desk/1"]) == 1
+        assert all(rule.held for rule in judge(facts, Bounds()).rules.values())
+
+
 class Refuses(Router):
     """Says that nothing ran, whatever happened."""
 
--- a/tests/test_platform_program.py
+++ b/tests/test_platform_program.py
@@ -78,6 +78,8 @@
     host, port, factory, _, _ = reactor.tcpClients[-1]
     server, wire = factory.buildProtocol(None), StringTransport()
     wire.setTcpNoDelay = lambda on: None
+    wire.socket, far = socket.socketpair()  # a connection is looked at before it is used: it is there, and silent
+    wire.socket.setblocking(False)
     server.makeConnection(wire)
     assert (host, port) == ("127.0.0.1", 6432)
     server.dataReceived(AUTHENTICATED)
@@ -85,6 +87,8 @@
     assert transport.value().endswith(row(tag="INSERT 0 1") + READY)  # the answer stands
     spoilt = [facts for event, facts in log.lines if event == "server_answer_spoilt"]
     assert spoilt == [{"server": "s-1", "problem": "load report in gauges: util", "spoilt": 1}]
+    far.close()
+    wire.socket.close()
 
 
 def test_a_class_that_no_statement_can_name_is_one_line_at_the_start_and_the_others_are_served(tmp_path):
--- a/tests/test_settings_spoilt.py
+++ b/tests/test_settings_spoilt.py
@@ -11,7 +11,7 @@
 import orjson
 import pytest
 
-from tests.platform_kit import CONFIG, ENTRY, START, Log, Reactor, query, serving
+from tests.platform_kit import CONFIG, ENTRY, START, Log, Reactor, listening, query, serving
 from yardbank.gateway.api import SECOND
 from yardbank.platform.client import EMPTY
 from yardbank.platform.config import PlatformError, read_config
@@ -68,7 +68,7 @@
         except PlatformError as problem:
             assert "\n" not in str(problem) and any(name in str(problem) for name in named), (octets, str(problem))
             continue
-        made = Service(config, Reactor(), Log())  # what is taken can be served by
+        made = Service(config, Reactor(), Log(), listening)  # what is taken can be served by
         made.start()
 
 
