Descriptors: the process's own are counted, accepts are bounded by room, a closing port says a word

Seen: min(32, sockets // 8) was set aside, 8 of 64, while the process's own are 23 with all watches of discovery open. Forced with the real program under RLIMIT_NOFILE equal to limits.sockets, discovery silent, idle clients in every place, eight requests out at once: at 64 a request got no answer with the value; at 96 and 256, and with discovery refusing, the old share held. A burst let Twisted accept up to numberAccepts connections in one turn, whatever was free, and a port that closed reset whoever waited in its queue.

Change: admission.OWN counts what the process needs by name, and that much and the connections in their end are set aside at every size. ClientPort accepts in one turn no more than the factory has room for; without room it stops reading until a connection has left (nothing spins), and connections that only wait for their client's end make way. In the turn in which the port closes all that wait are accepted; before that, turn by turn while there is no room for some.

Taken out: the old share: 64-silent of tests/test_crossings_descriptors.py fails; accepts without bound, the port read on without room, no way made at the shutdown: "one turn accepts no more" fails each time; no accept at the close: the 2 of "whoever waits to be accepted" (tests/test_crossings_closing.py).

--- a/tests/crossings_kit.py
+++ b/tests/crossings_kit.py
@@ -19,7 +19,7 @@
     def __init__(self, **more):
         super().__init__(**more)
         self.reactor = EPollReactor()
-        self.port = listen(self.reactor, "127.0.0.1", 0, self.factory, self.factory.room)
+        self.port = listen(self.reactor, "127.0.0.1", 0, self.factory)
         self.made, build = [], self.factory.buildProtocol
 
         def remember(address):
@@ -53,7 +53,7 @@
 
     def close(self):
         for descriptor in self.reactor.removeAll():
-            descriptor.connectionLost(None) if descriptor is self.port else descriptor.socket.close()
+            descriptor.socket.close()
 
 
 def readable(held, events=select.POLLIN):
--- a/tests/platform_kit.py
+++ b/tests/platform_kit.py
@@ -149,8 +149,10 @@
         self.stops += 1
 
 
-def listening(reactor, host, port, factory, room):
-    return reactor.listenTCP(port, factory, interface=host)
+def listening(reactor, host, port, factory):
+    made = reactor.listenTCP(port, factory, interface=host)
+    made.accept_waiting = lambda: False
+    return made
 
 
 def service(tmp_path, **change):
--- a/tests/test_crossings_closing.py
+++ b/tests/test_crossings_closing.py
@@ -1,6 +1,7 @@
 """How a client's connection ends, forced: octets between the look and the close, last words, ends that do not come."""
 
 import select
+import socket
 
 import pytest
 from hypothesis import given
@@ -156,6 +157,34 @@
     assert wire.factory.held <= most + 4
 
 
+@pytest.mark.parametrize("waiting", [5, 60])
+def test_whoever_waits_to_be_accepted_when_the_port_closes_gets_a_word(wire, waiting):
+    address = wire.port.socket.getsockname()
+    ends = [socket.create_connection(address) for _ in range(waiting)]  # the reactor has had no turn
+    for far in ends:
+        far.sendall(START + query(READ))
+    wire.factory.close_idle()
+    wire.gateway.stop()
+    wire.port.stopListening()
+    wire.until(lambda: wire.port not in wire.reactor.getReaders() and not wire.port.connected)
+    wire.until(lambda: all(readable(far) for far in ends))
+    for far in ends:
+        assert b"C53300\0" in to_its_end(wire, far)
+
+
+def test_one_turn_accepts_no_more_than_there_is_room_for(wire):
+    address, room = wire.port.socket.getsockname(), wire.factory.room()
+    ends = [socket.create_connection(address) for _ in range(room + 50)]
+    wire.port.numberAccepts = 500  # as after a burst
+    wire.port.doRead()
+    assert len(wire.made) == room == wire.factory.held
+    wire.port.doRead()
+    assert wire.port not in wire.reactor.getReaders()  # who waits does not wake it until one has left
+    for far in ends[-50:]:  # each gets its word whole and no reset, as they do not send
+        assert b"C53300\0" in to_its_end(wire, far)
+        assert wire.factory.held <= room
+
+
 @given(st.lists(st.sampled_from(Event)))
 def test_every_event_is_legal_at_every_stage_and_the_end_is_the_end(events):
     closing, steps = Closing(), []
--- /dev/null
+++ b/tests/test_crossings_descriptors.py
@@ -0,0 +1,139 @@
+"""Descriptors run short under the real program: idle clients fill them while discovery is down."""
+
+import os
+import resource
+import socket
+import subprocess
+import sys
+import threading
+
+import orjson
+import pytest
+
+from tests.crossings_kit import readable
+from tests.platform_kit import AUTHENTICATED, CONFIG, ENTRY, ENV, HEAD, READ, READY, START, chunk, query, row
+from yardbank.gateway.api import MS
+
+EXEC = "import os, resource, sys; n = int(sys.argv[1]); resource.setrlimit(resource.RLIMIT_NOFILE, (n, n));" \
+    "os.execv(sys.executable, [sys.executable, '-m', 'yardbank.platform'])"  # fmt: skip
+
+
+SERVICES = [{"name": "lookup", "aim": 500 * MS, "hard_limit": 1500 * MS, "effect": "pure"},
+            {"name": "commit", "aim": 500 * MS, "hard_limit": 3000 * MS, "effect": "side_effect"}]  # fmt: skip
+
+
+def run(tmp_path, sockets, discovery, known):
+    """The program, with as many descriptors as its configuration says and no more."""
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    (tmp_path / "config.json").write_bytes(
+        orjson.dumps({**CONFIG, "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}", "known": known,
+                      "limits": {"sockets": sockets}, "settings": {**ENV, "services": SERVICES}})
+    )  # fmt: skip
+    process = subprocess.Popen(
+        [sys.executable, "-c", EXEC, str(sockets)], env={**os.environ, "NODE_CONFIG": str(tmp_path / "config.json")},
+        stderr=subprocess.PIPE,
+    )  # fmt: skip
+    lines = []
+    for line in process.stderr:
+        lines.append(line)
+        if b'"listening"' in line:
+            break
+    return process, port, lines
+
+
+def a_word(far):
+    """Up to ReadyForQuery, or to the end, which may be a reset where a word had come whole before."""
+    got = b""
+    try:
+        while not got.endswith(READY) and (more := far.recv(1 << 16)):
+            got += more
+    except ConnectionResetError:
+        assert got.endswith(b"\0\0")
+    return got
+
+
+def serve(server, together):
+    """A server that answers once ``together`` statements have come, on as many connections."""
+
+    def answer(held):
+        held.settimeout(30)
+        try:
+            held.recv(1000)
+            held.sendall(AUTHENTICATED)
+            while held.recv(10_000):
+                together.wait()
+                held.sendall(row() + READY)
+        except (OSError, threading.BrokenBarrierError):
+            pass
+
+    while True:
+        try:
+            held, _ = server.accept()
+        except OSError:
+            return
+        threading.Thread(target=answer, args=(held,), daemon=True).start()
+
+
+@pytest.mark.parametrize("down", ["silent", "refuses"])
+@pytest.mark.parametrize("sockets", [64, 96, 256])
+def test_idle_clients_that_fill_the_descriptors_keep_nobody_from_being_heard(tmp_path, sockets, down):
+    discovery = socket.create_server(("127.0.0.1", 0), backlog=512)
+    server = socket.create_server(("127.0.0.1", 0), backlog=512)
+    address = discovery.getsockname()
+    if down == "refuses":
+        discovery.close()
+    asked = sockets // 8
+    entry = {**ENTRY, "hostPort": f"127.0.0.1:{server.getsockname()[1]}"}
+    entries = [{**entry, "instanceId": f"s-{number}"} for number in range(4 * asked)]  # so that none is overloaded
+    known = {"generation": 41, "reset": True, "instances": entries}
+    process, port, lines = run(tmp_path, sockets, address[1], known)
+    threading.Thread(target=serve, args=(server, threading.Barrier(asked, timeout=30)), daemon=True).start()
+    clients = []
+    try:
+        for _ in range(2 * sockets):  # all connect in one burst, then each gets its word
+            clients.append(socket.create_connection(("127.0.0.1", port), timeout=30))
+        kept = []
+        for far in clients:
+            far.sendall(START + query(""))
+        for far in clients:
+            word = a_word(far)
+            assert word.endswith(READY) or b"C53300\0" in word, word
+            kept += [far] if word.endswith(READY) else []
+        assert len(kept) >= sockets // 3
+        watches = [discovery.accept()[0] for _ in range(9)] if down == "silent" else []  # as many as stay open at once
+        busy = [far for far in kept if not readable(far)][:asked]
+        for number, far in enumerate(busy):
+            far.sendall(query(READ.replace("cluster=2", "cluster=3").replace("a1", f"q{number}")))
+        for far in busy:  # each was on a connection of its own to the server at the same time
+            assert b"SELECT 1" in a_word(far)
+        if down == "refuses":
+            discovery = socket.create_server(address, backlog=512)
+            watches = [discovery.accept()[0]]
+        for watch in watches:
+            listing = {**known, "generation": 50}
+            try:
+                watch.sendall(HEAD + chunk(orjson.dumps(listing) + b"\n"))
+            except OSError:
+                pass  # it was given up, or another was heard first
+        for line in process.stderr:
+            lines.append(line)
+            if b'"list_applied"' in line:  # the known one was applied before the program listened
+                break
+        late = socket.create_connection(("127.0.0.1", port), timeout=30)
+        clients.append(late)
+        late.sendall(START + query(""))
+        assert a_word(late)
+        process.terminate()
+        lines += process.stderr.readlines()
+        assert process.wait(30) == 0
+    finally:
+        process.kill()
+        process.wait()
+        for each in (*clients, discovery, server):
+            each.close()
+    text = b"".join(lines)
+    for never in (b"Traceback", b"Too many open files", b"EMFILE", b"Could not accept"):
+        assert never not in text, text.decode()
+    assert len(lines) < 200
+    assert resource.getrlimit(resource.RLIMIT_NOFILE)[0] > sockets
--- a/tests/test_platform_admission.py
+++ b/tests/test_platform_admission.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from yardbank.gateway.api import MS, SECOND
-from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
+from yardbank.platform.admission import OWN, Admission, AdmissionLimits, Descriptors, State
 
 
 def test_a_connection_that_says_nothing_gives_way_then_an_idle_one_but_never_a_busy_one():
@@ -68,7 +68,7 @@
 @given(st.integers(64, 4096), st.lists(st.tuples(st.booleans(), st.integers(0, 4096))))
 def test_clients_and_servers_together_never_hold_more_than_there_are(sockets, steps):
     descriptors, clients, servers = Descriptors.of(sockets), 0, 0
-    assert descriptors.both < sockets
+    assert descriptors.both + descriptors.closing + OWN <= sockets
     assert descriptors.for_clients(descriptors.servers_least) > sockets // 3
     for clients_grow, wanted in steps:  # whoever grows looks at what the other holds at that time; all may shrink
         if clients_grow:
--- a/yardbank/platform/admission.py
+++ b/yardbank/platform/admission.py
@@ -12,6 +12,12 @@
 from enum import Enum
 
 from yardbank.gateway.api import MS, SECOND
+from yardbank.platform.vigil import MOST
+
+CLOSING = 4  # the least of connections of clients that may be in their end, besides those that are served
+# standard streams 3, epoll 1, wakers 2, the port 1, Twisted's reserve 1, watches of discovery ``vigil.MOST`` and the
+# dropped ones of the same turn 1, the configuration when it is read anew 1, an accepted connection to be turned away 1
+OWN = 11 + MOST
 
 
 class State(Enum):
@@ -50,13 +56,14 @@
 
     both: int
     servers_least: int
-    closing: int = 4  # connections of clients that are being closed, besides
+    closing: int = CLOSING
 
     @classmethod
     def of(cls, sockets: int) -> Descriptors:
         """The shares of a process that may hold so many."""
-        both = sockets - min(32, sockets // 8)
-        return cls(both, both // 4)
+        closing = max(CLOSING, sockets // 32)
+        both = sockets - OWN - closing
+        return cls(both, max(both // 4, sockets // 5), closing)
 
     def for_clients(self, servers: int) -> int:
         """How many connections clients may hold, while servers hold so many."""
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -76,6 +76,7 @@
         """Queries, in any split."""
         if not self._closing.serves:
             self._do(self._closing.drop(len(data)))
+            self._lingers()
             return
         self._closing.on(Event.OCTETS)
         if out := self._session.receive(data):
@@ -136,6 +137,9 @@
         self.factory.rejected(reason)
         self.close(last, Event.REJECTED)
 
+    def _lingers(self) -> None:
+        self.factory.lingers(self)
+
     def _no_more(self) -> None:
         """From here on nothing of the client is served."""
         if not self._told_last and not self._session.left and (not self._spoken or self.owes()):
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -17,7 +17,6 @@
 from yardbank.platform.connection import STOPPING, ClientConnection
 
 COME_AGAIN = 250 * MS  # told to a connection for which there is no room
-MAKE_WAY = 8  # connections that are being closed are closed early, so many at a time, where a client has no room
 LOG_EVERY = 1000 * MS  # of what clients can cause at will
 
 
@@ -48,6 +47,7 @@
         self._cancel_sweep: Callable[[], None] | None = None
         self._said_at: dict[str, int] = {}  # by event: when it was last logged
         self._emptied: Callable[[], None] | None = None
+        self._when_room: Callable[[], None] | None = None
 
     @property
     def held(self) -> int:
@@ -59,10 +59,14 @@
         room = self._descriptors.for_clients(self.gateway.server_connections) + self._descriptors.closing - self.held
         if room > 0 or not self._closing:
             return max(1, room)
-        for number in list(self._closing)[:MAKE_WAY]:
-            self._connections[number].overdue()
+        for number in list(self._closing):
+            self._connections[number].make_way()
         return 0
 
+    def when_room(self, call: Callable[[], None]) -> None:
+        """``call`` once a connection has left: until then nothing is accepted."""
+        self._when_room = call
+
     def buildProtocol(self, addr: Any) -> ClientConnection:
         return ClientConnection(self, next(self._numbers))
 
@@ -96,11 +100,19 @@
         self.admission.left(connection.number)
         self._closing.setdefault(connection.number, self.gateway.now())
 
+    def lingers(self, connection: ClientConnection) -> None:
+        """All that is left of a connection is to wait for its client's end."""
+        if self._when_room is not None:
+            connection.make_way()
+
     def left(self, connection: ClientConnection) -> None:
         """A connection is gone."""
         self.admission.left(connection.number)
         self._closing.pop(connection.number, None)
         self._connections.pop(connection.number, None)
+        when_room, self._when_room = self._when_room, None
+        if when_room is not None:
+            when_room()
         if self._emptied is not None and not self._connections:
             self._emptied()
 
--- a/yardbank/platform/lingering.py
+++ b/yardbank/platform/lingering.py
@@ -36,6 +36,11 @@
         """Its end has taken long enough."""
         self._do(self._closing.on(Event.TIME))
 
+    def make_way(self) -> None:
+        """Its descriptor is wanted: close it early, if all it can do is wait for the other end's end."""
+        if self._closing.stage is Stage.LINGERING and not self.unread():
+            self.overdue()
+
     def cut(self) -> None:
         """Close at once."""
         self._do(self._closing.on(Event.CUT))
@@ -66,11 +71,15 @@
         self._no_more()
         if step is Step.SHUT:
             self.transport.end_sending()
+            self._lingers()
         elif step is Step.RESET:
             self.transport.abortConnection()
         else:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
+    def _lingers(self) -> None:
+        """The sending has ended, or more of what came after that was read."""
+
     def _no_more(self) -> None:
         """From here on nothing of the client is served; called before each step at the transport."""
--- a/yardbank/platform/listening.py
+++ b/yardbank/platform/listening.py
@@ -2,14 +2,13 @@
 
 from __future__ import annotations
 
+import select
 import socket
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.tcp import Port, Server
 
 BACKLOG = 1024
-LAST_ACCEPTS = 4 * BACKLOG  # of those that wait when the port is closed
 
 
 class ClientTransport(Server):
@@ -37,23 +36,44 @@
 
 
 class ClientPort(Port):
-    """``room`` says how many connections may be accepted now."""
+    """Its factory's ``room`` says how many connections may be accepted now, ``when_room`` tells when to go on."""
 
     transport = ClientTransport
+    factory: Any
 
-    def __init__(self, port: int, factory: Any, interface: str, reactor: Any, room: Callable[[], int]) -> None:
+    def __init__(self, port: int, factory: Any, interface: str, reactor: Any) -> None:
         super().__init__(port, factory, BACKLOG, interface, reactor)
-        self._room = room
 
     def doRead(self) -> None:
         """Accept, but only as many as there are descriptors for."""
-        if (most := min(self.numberAccepts, self._room())) > 0:
+        if (most := min(self.numberAccepts, self.factory.room())) > 0:
             self.numberAccepts = most
             super().doRead()
-
-
-def listen(reactor: Any, host: str, port: int, factory: Any, room: Callable[[], int]) -> Any:
+        else:
+            self.stopReading()  # who waits would wake the reactor again and again
+            self.factory.when_room(self._go_on)
+
+    def _go_on(self) -> None:
+        if self.connected and not self.disconnecting:
+            self.startReading()
+
+    def accept_waiting(self) -> bool:
+        """Accept all that have connected, as far as there is room now; whether some still wait."""
+        for _ in range(BACKLOG):
+            before = self.sessionno
+            self.doRead()
+            if self.sessionno == before:
+                break
+        return bool(select.select([self.socket], [], [], 0)[0])
+
+    def connectionLost(self, reason: Any) -> None:
+        """Closing the port resets whoever waits to be accepted: they are, in the very turn."""
+        self.accept_waiting()
+        super().connectionLost(reason)
+
+
+def listen(reactor: Any, host: str, port: int, factory: Any) -> Any:
     """Listen for clients. Raises ``CannotListenError``."""
-    made = ClientPort(port, factory, host, reactor, room)
+    made = ClientPort(port, factory, host, reactor)
     made.startListening()
     return made
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -27,6 +27,7 @@
 
 LINGER = 600 * MS  # after SIGTERM clients still come for a moment: they are served as ever
 LAST_WORDS = 500 * MS  # for clients to take what was written to them
+LAST_TURNS = 256  # of the reactor, for those who wait to be accepted when the port is to be closed
 VIEW_EVERY = 5 * SECOND
 
 
@@ -80,7 +81,7 @@
         """Take the list that is known, listen, watch discovery."""
         self.gateway.apply_list(specs(self.config.known), self.config.known.generation)
         listen = self.config.listen
-        self._port = self._listen(self._reactor, listen.host, listen.port, self.factory, self.factory.room)
+        self._port = self._listen(self._reactor, listen.host, listen.port, self.factory)
         self.watcher.start()
         self._view()
         classes = {kind.name: (kind.aim // MS, kind.deadline // MS) for kind in self.config.settings.classes}
@@ -136,9 +137,12 @@
         """Sockets are looked at between two rounds of timers: what came while the process was busy is taken first."""
         self._reactor.callLater(0, then, *arguments)
 
-    def _drain(self, port: Any) -> None:
-        port.stopListening()
+    def _drain(self, port: Any, turns: int = LAST_TURNS) -> None:
         self.factory.close_idle()
+        if port.accept_waiting() and turns > 0:  # there was no room for some: there is when others have gone
+            self._look_first(self._drain, port, turns - 1)
+            return
+        port.stopListening()
         self.gateway.stop().addCallback(lambda _: self._look_first(self._stopped))
 
     def _stopped(self) -> None:
