Ruled out by a held process: requests around SIGTERM and its drain are all answered

The program is stopped with SIGSTOP, each of eight clients writes a request, SIGTERM (or the drain's timer) falls due, four more connect and ask, each of the eight writes again, then it is continued. Every request gets its one answer and every connection an end, no reset.

--- a/tests/test_crossings_process.py
+++ b/tests/test_crossings_process.py
@@ -5,11 +5,12 @@
 import socket
 import subprocess
 import sys
+import time
 
 import orjson
 import pytest
 
-from tests.platform_kit import CONFIG, service
+from tests.platform_kit import CONFIG, READ, READY, START, query, service, serving
 
 
 def start_held(tmp_path, discovery):
@@ -108,3 +109,57 @@
     assert len(reactor.tcpClients) == begun and reactor.stops == 1
     move(8503)
     assert len(reactor.tcpClients) == begun
+
+
+def answers(far, count):
+    """So many final answers on one connection."""
+    got = b""
+    while got.count(READY) < count:
+        more = far.recv(1 << 16)
+        assert more, got
+        got += more
+    return got
+
+
+@pytest.mark.parametrize("when", ["asked to stop", "due to drain"])
+def test_requests_around_the_signal_in_a_process_that_was_held_are_all_answered(tmp_path, when):
+    """Stopped and continued, so that signal, timers and what clients wrote meet in one turn."""
+    process, port, lines, _ = serving(tmp_path, 9)
+    clients = []
+    try:
+        for _ in range(8):
+            clients.append(socket.create_connection(("127.0.0.1", port), timeout=30))
+            clients[-1].sendall(START + query(""))
+            assert answers(clients[-1], 2)
+        if when == "due to drain":
+            process.send_signal(TERM)
+            while b"stop_asked" not in lines[-1]:
+                lines.append(process.stderr.readline())
+        process.send_signal(signal.SIGSTOP)
+        assert os.WIFSTOPPED(os.waitpid(process.pid, os.WUNTRACED)[1])
+        for number, far in enumerate(clients):
+            far.sendall(query(READ.replace("a1", f"b{number}")))
+        if when == "due to drain":
+            time.sleep(0.8)  # the timer is due while the process is held; sooner, the verdict is the same
+        else:
+            process.send_signal(TERM)
+        late = [socket.create_connection(("127.0.0.1", port), timeout=30) for _ in range(4)]  # accepted by the system
+        for number, far in enumerate(late):
+            far.sendall(START + query(READ.replace("a1", f"c{number}")))
+        for number, far in enumerate(clients):
+            far.sendall(query("") if number % 2 else query(READ.replace("a1", f"d{number}")))
+        process.send_signal(signal.SIGCONT)
+        for far in clients:
+            assert b"C53300\0" in answers(far, 2)
+        for far in late:
+            assert b"C53300\0" in answers(far, 2)
+        for far in (*clients, *late):
+            assert far.recv(1000) == b""  # an end, and no reset
+            far.close()
+        lines += process.stderr.readlines()
+        assert process.wait(30) == 0
+    finally:
+        process.kill()
+        process.wait()
+    ended = orjson.loads(next(line for line in lines if b'"ended"' in line))
+    assert ended["closed_unanswered"] == ended["failed_unsent"] == 0
