The look at a closing port's queue works at any descriptor's number

select.select raises ValueError from descriptor 1024 on, and limits.sockets has no upper bound; poll does not.

--- a/yardbank/platform/listening.py
+++ b/yardbank/platform/listening.py
@@ -64,7 +64,9 @@
             self.doRead()
             if self.sessionno == before:
                 break
-        return bool(select.select([self.socket], [], [], 0)[0])
+        look = select.poll()
+        look.register(self.socket, select.POLLIN)
+        return bool(look.poll(0))
 
     def connectionLost(self, reason: Any) -> None:
         """Closing the port resets whoever waits to be accepted: they are, in the very turn."""
