The seeded fault that sends a write twice gets past the gateway's own look

Cause: the gateway no longer writes an unsafe request again that may have run, whatever its decision module says. The seeded fault "Resends" sits in the module alone, so nothing was sent twice, and the two tests that want the audit to find it had nothing to find: test_rig_fleet.py [Resends] failed, and test_audit.py's test_a_write_sent_twice_is_found with it.

Change: the fault takes the gateway's look at repeats away too. The tests demand of the audit what they demanded before. The function that the fault replaces is public by name now (sending.withheld_repeat).

--- a/tests/rig_runner.py
+++ b/tests/rig_runner.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from yardbank import interface as api
+from yardbank.gateway import sending
 from yardbank.policy import Router
 
 
@@ -33,7 +34,11 @@
 
 
 class Resends(Router):
-    """Sends a write again whatever became of it."""
+    """Sends a write again whatever became of it, and its gateway, the only one of its process, lets it."""
+
+    def __init__(self, settings):
+        super().__init__(settings)
+        sending.withheld_repeat = lambda request, now: None
 
     def may_resend(self, held):
         return held.attempts < 3
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -10,6 +10,7 @@
 from yardbank.audit.summary import by_class
 from yardbank.cli import main
 from yardbank.directory.codes import Code
+from yardbank.gateway import sending
 from yardbank.ldap import messages as m
 from yardbank.policy import Router
 from yardbank.standin.server import Capacity
@@ -68,7 +69,8 @@
         return held.attempts < 3
 
 
-def test_a_write_sent_twice_is_found():
+def test_a_write_sent_twice_is_found(monkeypatch):
+    monkeypatch.setattr(sending, "withheld_repeat", lambda request, now: None)  # the gateway does not ask either
     with world(router=Resends) as place:
         place.servers["n1"].faults.lose_next = 1
         desk = Desk(place)
--- a/yardbank/gateway/sending.py
+++ b/yardbank/gateway/sending.py
@@ -34,10 +34,10 @@
         return Withheld.EXPIRED
     if attempt.list_seen < changed_in:
         return Withheld.SUPERSEDED
-    return _repeat(request, now)
+    return withheld_repeat(request, now)
 
 
-def _repeat(request: Open, now: int) -> Withheld | None:
+def withheld_repeat(request: Open, now: int) -> Withheld | None:
     """A repeat of what may have run: harmless if it is safe, or keyed and still within its window."""
     kind = request.kind
     if kind.effect == "safe":
