--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -70,7 +70,7 @@
 
 
 def test_a_write_sent_twice_is_found(monkeypatch):
-    monkeypatch.setattr(sending, "_repeat", lambda request, now: None)  # the gateway's own guard is out as well
+    monkeypatch.setattr(sending, "withheld_repeat", lambda request, now: None)  # the gateway does not ask either
     with world(router=Resends) as place:
         place.servers["n1"].faults.lose_next = 1
         desk = Desk(place)
