A move of discovery while nobody watches only notes the address

Cause: Watcher.move called start(), so a reload after stop() (a SIGHUP during the drain or the last words) began a watch that was stopped; Vigil.begin left STOPPED without being asked to watch.

Change: a move is an event of its own; while STOPPED it only notes the address. The table of phases is now by phase and event, with every event legal in every phase.

Tests: test_a_move_after_the_stop_or_before_the_start_begins_no_watch fails without the mend (a second connect). A test walks every pair of phase and event and wants exactly the phases of the table; the property test now holds each step to the row of its own event, where it took any pair of phases of the table before.

--- a/yardbank/platform/vigil.py
+++ b/yardbank/platform/vigil.py
@@ -30,20 +30,35 @@
     HEARING = "one has spoken and is gone by"
 
 
-# phase, what happens, the phase after it
-TABLE = (
-    (Phase.STOPPED, "begin", Phase.ASKING),
-    (Phase.PAUSING, "the pause is over", Phase.ASKING),
-    (Phase.ASKING, "one speaks", Phase.HEARING),
-    (Phase.ASKING, "the last of them ends", Phase.PAUSING),
-    (Phase.HEARING, "it falls silent", Phase.ASKING),
-    (Phase.HEARING, "it ends", Phase.PAUSING),
-    (Phase.PAUSING, "begin", Phase.ASKING),
-    (Phase.HEARING, "begin", Phase.ASKING),
-    (Phase.PAUSING, "stop", Phase.STOPPED),
-    (Phase.ASKING, "stop", Phase.STOPPED),
-    (Phase.HEARING, "stop", Phase.STOPPED),
-)
+class Event(Enum):
+    """What can happen to it."""
+
+    BEGIN = "watch from now on"
+    MOVE = "discovery is elsewhere from now on"
+    STOP = "watch no more"
+    TICK = "time has passed"
+    ANSWERED = "the head of an answer is there"
+    LIVED = "a watch has shown life"
+    NEWS = "a list was new"
+    ENDED = "a watch has ended by itself"
+
+
+def _row(phase: Phase, **led: set[Phase]) -> dict[Event, set[Phase]]:
+    return {event: led.get(event.name, {phase}) for event in Event}
+
+
+_STOPPED, _PAUSING, _ASKING, _HEARING = ({phase} for phase in Phase)
+# Every event is legal in every phase: the phases that may follow. What is not named leaves the phase as it is.
+TABLE = {
+    Phase.STOPPED: _row(Phase.STOPPED, BEGIN=_ASKING),
+    Phase.PAUSING: _row(Phase.PAUSING, BEGIN=_ASKING, MOVE=_ASKING, STOP=_STOPPED, TICK=_PAUSING | _ASKING),
+    Phase.ASKING: _row(
+        Phase.ASKING, STOP=_STOPPED, ANSWERED=_ASKING | _HEARING, LIVED=_ASKING | _HEARING, ENDED=_ASKING | _PAUSING
+    ),
+    Phase.HEARING: _row(
+        Phase.HEARING, BEGIN=_ASKING, MOVE=_ASKING, STOP=_STOPPED, TICK=_HEARING | _ASKING, ENDED=_HEARING | _PAUSING
+    ),
+}
 
 
 @dataclass(slots=True, frozen=True)
@@ -84,6 +99,10 @@
         self._pause, self._doubt = FIRST_PAUSE, False
         return Steps(drop=drop, begin=self._another(now))
 
+    def move(self, now: int) -> Steps:
+        """Discovery is elsewhere from now on; whoever has stopped does not begin again for that."""
+        return NOTHING if self.phase is Phase.STOPPED else self.begin(now)
+
     def stop(self) -> Steps:
         """Watch no more."""
         drop, self._since = tuple(self._since), {}
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -82,10 +82,13 @@
         self._do(self._vigil.begin(self._now()))
 
     def move(self, address: Address) -> None:
-        """Discovery is elsewhere from now on; the list held stays until the new address tells another."""
+        """Discovery is elsewhere from now on; the list held stays until the new address tells another.
+
+        While nobody watches (before the start, after the stop) the address is only noted.
+        """
         if address != self.address:
             self.address = address
-            self.start()
+            self._do(self._vigil.move(self._now()))
 
     def stop(self) -> None:
         """Watch no more."""
