Lists that lie unread in the watch's socket are taken before whoever counts on them

Need: a list that tells of a drain can lie in the socket while an attempt is written, for instance after the process was busy or stopped; nothing looked there before the reactor's next turn.

Change: Watcher.catch_up reads what lies unread in the open watches and hands it on, at most 16 reads of 64 KiB in a row; an end found there is left to the reactor; within the taking of a list it does nothing. Lists read together are joined and taken as one (also those the reactor reads), so no attempt falls between two that were there at once. Not wired yet: before_send is the gateway's.

The reset's error is taken by the look: the reactor then sees a plain end, and the watch is dialled anew all the same. Only two lists of a delta or more whose later one raises in take are refused together now; before, the first stood.

--- a/yardbank/platform/listing.py
+++ b/yardbank/platform/listing.py
@@ -8,7 +8,7 @@
 
 import math
 import re
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Any, Literal
 
@@ -35,6 +35,15 @@
     entries: Mapping[str, ServerSpec | None]
 
 
+def joined(lists: Sequence[Listing]) -> Listing:
+    """Lists that came one after the other as one: no decision falls between what was there at the same instant."""
+    whole = max((at for at, listing in enumerate(lists) if listing.reset), default=0)
+    entries: dict[str, ServerSpec | None] = {}
+    for listing in lists[whole:]:
+        entries.update(listing.entries)
+    return Listing(lists[-1].generation, lists[whole].reset, entries)
+
+
 class _Gone(msgspec.Struct, rename="camel"):
     instance_id: str
     lifecycle: Literal["Gone"]
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -12,10 +13,11 @@
 from yardbank.gateway.api import MS, SECOND
 from yardbank.platform.config import Address
 from yardbank.platform.discovery import Watch
-from yardbank.platform.listing import Listing
+from yardbank.platform.listing import Listing, joined
 from yardbank.platform.vigil import SILENCE, Steps, Vigil
 
 LOG_EVERY = SECOND  # of what discovery can cause at will
+READ_SIZE, MAX_READS = 64 << 10, 16  # octets at a time, and how many times in a row
 
 
 class _Watching(Protocol):
@@ -40,6 +42,18 @@
         if not self.dropped:
             self._watcher.ended(self, reason.getErrorMessage())
 
+    def unread(self) -> bytes:
+        """Octets that lie in the socket; none also if it has ended, which is for the reactor to see."""
+        held = getattr(self.transport, "socket", None)
+        if held is None or self.dropped or self.watch.done:
+            return b""
+        try:
+            if not held.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return b""
+            return bytes(held.recv(READ_SIZE))
+        except OSError:  # nothing there, or a reset
+            return b""
+
     def drop(self) -> None:
         """What it still brings is of no interest."""
         self.dropped = True
@@ -72,6 +86,7 @@
         self._take, self._reactor, self._log = take, reactor, log
         self._vigil = Vigil()
         self._open: dict[int, _Watching] = {}
+        self._reading = False
         self._holes = False  # a list was lost on its way: another of its generation may be held
         self._timer: Any = None  # due at ``_due_at`` or before: a tick too early does nothing
         self._due_at = 0
@@ -148,23 +163,49 @@
         if watching.watch.waiting:
             self._holes = True
 
+    def catch_up(self) -> None:
+        """Take in now what lies unread, as if the reactor had looked; for whoever is about to count on the list.
+
+        One system call if there is nothing. Within the taking of a list it does nothing: ``take`` is not entered twice.
+        """
+        if not self._reading:
+            for watching in tuple(self._open.values()):
+                if data := watching.unread():
+                    watching.dataReceived(data)
+
     def heard(self, watching: _Watching, data: bytes) -> None:
-        """Octets of a watch that is gone by, or may be."""
-        was_answered, number = watching.watch.answered, watching.number
+        """Octets of a watch that is gone by, or may be; what lies in the socket behind them is taken along."""
+        was_answered, number, lists = watching.watch.answered, watching.number, []
+        problem: ValueError | None = None
+        self._reading = True
         try:
-            for found in watching.watch.receive(data):
-                self._do(self._vigil.lived(number, self._now()))
-                if isinstance(found, Listing):
-                    self._told(found)
-        except ValueError as problem:
-            self._holes = True
-            self._say(self._log.error, "discovery_list_rejected", problem=str(problem)[:300])
-            watching.drop()
-            self.ended(watching, "what it brought is no list")
-            return
-        if watching.watch.answered and not was_answered:
+            for _ in range(MAX_READS):
+                for found in watching.watch.receive(data):
+                    self._do(self._vigil.lived(number, self._now()))
+                    if isinstance(found, Listing):
+                        lists.append(found)
+                if not (data := watching.unread()):
+                    break
+        except ValueError as spoilt:
+            problem = spoilt
+        try:
+            if lists:
+                self._told(joined(lists))
+        except ValueError as spoilt:
+            problem = spoilt
+        finally:
+            self._reading = False
+        if problem is not None:
+            self._rejected(watching, problem)
+        elif watching.watch.answered and not was_answered:
             self._do(self._vigil.answered(number, self._now()))
 
+    def _rejected(self, watching: _Watching, problem: Exception) -> None:
+        self._holes = True
+        self._say(self._log.error, "discovery_list_rejected", problem=str(problem)[:300])
+        watching.drop()
+        self.ended(watching, "what it brought is no list")
+
     def _told(self, listing: Listing) -> None:
         self._take(listing)
         if listing.generation != self.generation:
