Discovery's watch survives a dial that cannot be begun, an error in a list, two silences in a row

Seen in reading, each confirmed by a test that failed first: connectTCP that raises left no timer, so the watch was dead for good (watch.py, _begin out of _tick); an error that is no ValueError went up through heard, and through a send that looks there; a delta of a lower generation than the list held was applied; a watch that began a list and stopped, right after another had fallen silent, was waited for a second SILENCE (two of them are the whole 6 s); a long list that came while the process stood still was read by one piece a turn and then held silent. Change: a dial that raises has failed and comes again after its pause; such an error is logged (list_error) and the whole list asked for; changes of an older generation are refused and the whole list asked for; after a silence the beginning of a list is no proof of life; the tick reads on first. Gateway's before_send is Watcher.catch_up: lists that lie unread count before a send.

--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -73,6 +73,7 @@
             log=log,
             positions=ClockPositions(),
             connections_bound=lambda: descriptors.for_servers(self.factory.held),
+            before_send=lambda: self.watcher.catch_up(),
         )
         self.admission = Admission(AdmissionLimits())
         self.factory = ClientFactory(
--- a/yardbank/platform/vigil.py
+++ b/yardbank/platform/vigil.py
@@ -126,8 +126,14 @@
         """The head of an answer is there."""
         return NOTHING if self._doubt else self._spoke(number, now)
 
-    def lived(self, number: int, now: int) -> Steps:
-        """A list, the first octet of one, or white space between two."""
+    def lived(self, number: int, now: int, begun: bool = False) -> Steps:
+        """A list, or white space between two; ``begun``: the first octet of a list.
+
+        Once a watch has fallen silent the beginning of a list is no proof that it will end: others are begun beside
+        it until one is whole, so that two watches that stop one after the other cost no more than one.
+        """
+        if begun and self._doubt:
+            return NOTHING
         if number in self._since:
             self._doubt = False
         return self._spoke(number, now)
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -14,6 +14,7 @@
 from yardbank.platform.config import Address
 from yardbank.platform.discovery import Watch
 from yardbank.platform.listing import Listing, joined
+from yardbank.platform.values import Sign
 from yardbank.platform.vigil import SILENCE, Steps, Vigil
 
 LOG_EVERY = SECOND  # of what discovery can cause at will
@@ -128,7 +129,10 @@
         host, port = self.address.host, self.address.port
         made = _Watching(self, number, Watch(f"{host}:{port}", 0 if self._holes else self.generation))
         self._open[number] = made
-        made.connector = self._reactor.connectTCP(host, port, _Factory(made), timeout=2 * SILENCE / 1e9)
+        try:
+            made.connector = self._reactor.connectTCP(host, port, _Factory(made), timeout=2 * SILENCE / 1e9)
+        except Exception as problem:  # no descriptor, say: a dial that failed, and the next comes after its pause
+            self.ended(made, f"no dial: {problem!r}")
 
     def _say(self, say: Callable[..., None], event: str, **facts: Any) -> None:
         """At most one line a second of each event, which tells how many were left out."""
@@ -156,7 +160,9 @@
         self._timer = self._reactor.callLater(0, self._tick)
 
     def _tick(self) -> None:
+        """A turn reads one piece of each socket: the rest of a long list is read before it counts as silence."""
         self._timer = None
+        self.catch_up()
         self._do(self._vigil.tick(self._now()))
 
     def _lost(self, watching: _Watching) -> None:
@@ -181,7 +187,7 @@
         try:
             for _ in range(MAX_READS):
                 for found in watching.watch.receive(data):
-                    self._do(self._vigil.lived(number, self._now()))
+                    self._do(self._vigil.lived(number, self._now(), begun=found is Sign.BEGUN))
                     if isinstance(found, Listing):
                         lists.append(found)
                 if not (data := watching.unread()):
@@ -193,6 +199,9 @@
                 self._told(joined(lists))
         except ValueError as spoilt:
             problem = spoilt
+        except Exception as fault:  # an error of the program's must not end the watch, nor the send that looked here
+            self._log.error("list_error", error=repr(fault), exc_info=True)
+            problem = ValueError("it could not be applied")
         finally:
             self._reading = False
         if problem is not None:
@@ -207,6 +216,8 @@
         self.ended(watching, "what it brought is no list")
 
     def _told(self, listing: Listing) -> None:
+        if not listing.reset and listing.generation < self.generation:  # changes of another past than the list held
+            raise ValueError(f"generation: {listing.generation} after {self.generation}, and not the whole list")
         self._take(listing)
         if listing.generation != self.generation:
             self._vigil.news()
