Whether a socket's other end is there: looked at by the gateway's side of each protocol

The LDAP front is to look at its clients' sockets as the platform's does, and the two may not import each other. A pure move of platform/presence.py to gateway/presence.py.

--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -9,8 +9,9 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
+from yardbank.gateway import presence
 from yardbank.gateway.api import MS, Call
-from yardbank.platform import client, presence
+from yardbank.platform import client
 from yardbank.platform.admission import State
 from yardbank.platform.backend import Operation
 from yardbank.platform.client import ClientSession, Refusal
--- a/yardbank/platform/lingering.py
+++ b/yardbank/platform/lingering.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.protocol import Protocol
 
-from yardbank.platform import presence
+from yardbank.gateway import presence
 from yardbank.platform.closing import Closing, Event, Stage, Step
 
 
