LDAP front: what a client takes back counts as soon as it lies in its socket

Seen: a gateway continued after SIGSTOP sent on requests whose client's FIN, RST, Abandon, Cancel or Unbind lay behind them in the socket; a client paused for not reading was not read, so that its end was not seen while its held requests were sent on. At fault: ldap/front.py served each request as it was decoded, before the rest of the same read, and gave `Call.present` to no request (nor did ldap/spread.py to the parts of a search).

Change: ldap/intake.py, the receiving half of a connection. A read is taken whole before a request of it is served; requests wait in a queue from which an Abandon or Cancel behind them takes them (a cancelled one and its Cancel are answered, RFC 3909; an abandoned one is not). `present`, given for each Call and each part, reads what lies unread before an attempt is written, also of a paused client, up to 8 reads, 512 KiB or max_outstanding requests in the queue; the bound is logged, once a connection (client_read_ahead_bound). Behind it FIN and RST are still seen, an Abandon is not. One system call per look where nothing lies unread; reads cost none more. A bind can be neither abandoned nor cancelled (RFC 4511 section 4.11, RFC 3909 section 2). All that one word takes back is forgotten before the gateway hears of the first, whose leaving may send the next. While a client reads none of its answers, nothing more of it is taken up. max_outstanding is looked at when a request is taken up: those answered at once never count, as before.

Tests: tests/test_crossings_ldap.py, on real sockets whose reactor turns when told.

--- a/yardbank/ldap/front.py
+++ b/yardbank/ldap/front.py
@@ -5,13 +5,14 @@
 import hmac
 from collections.abc import Mapping
 from dataclasses import dataclass, field
+from functools import partial
 from itertools import count
 from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -24,13 +25,15 @@
 from yardbank.ldap.ber import SEQUENCE, BerError, expect, header, text
 from yardbank.ldap.classify import Classifier, entry_of, of_unheld, renamed
 from yardbank.ldap.exchange import Exchange, prepare
+from yardbank.ldap.intake import Intake
 from yardbank.ldap.spread import SORTED, Fan, Search, spans
-from yardbank.ldap.state import Abandoned, Asked, Broken, Closed, ServerEnd, notice_of_disconnection
+from yardbank.ldap.state import Asked, Broken, ServerEnd, lasting, notice_of_disconnection
 from yardbank.spread import Reach
 
 PRE_READ = "1.3.6.1.1.13.1"
 PASSED_ON = frozenset((m.Oid.POST_READ, PRE_READ, m.Oid.ASSERTION, m.Oid.MANAGE_DSA_IT, m.Oid.PAGED_RESULTS))
 LAST_WORDS = 1.0  # seconds in which a client must take what was written to it when the gateway stops
+MAX_ID = 0x7FFFFFFF  # of a message
 EXTENSIONS = (m.Oid.CANCEL, m.Oid.WHO_AM_I, m.Oid.PASSWORD_MODIFY)
 
 
@@ -80,25 +83,23 @@
 
 
 @implementer(IPushProducer)
-class LdapFront(Protocol):
+class LdapFront(Intake):
     """One client's connection."""
 
-    transport: Any  # Twisted's stubs name no methods of a TCP transport
-
     def __init__(self, factory: LdapFrontFactory, number: int) -> None:
         self.gateway = factory.gateway
         self._factory = factory
         self._number = number
-        self._end = ServerEnd(factory.options.max_message, factory.options.max_outstanding)
+        options = factory.options
+        super().__init__(ServerEnd(options.max_message, MAX_ID), options.max_outstanding, factory.log)
         self._identity = ""
         self._requests: dict[int, str | Search] = {}  # by message ID: the gateway's number, or a search of many parts
         self._tags: dict[int, int] = {}  # the tag of the answer that each is owed
         self._unread: int | None = None  # octets written since the client stopped reading; None: it reads
-        self._closing = False
         self._fan: Fan | None = None  # made at the first search that spans groups
 
     @property
-    def reading(self) -> bool:
+    def reading(self) -> bool:  # type: ignore[override]
         """Whether the client takes what is written to it."""
         return self._unread is None
 
@@ -122,31 +123,6 @@
         self._factory.left(self)
         self._drop()
 
-    def dataReceived(self, data: bytes) -> None:
-        """Requests, in any split."""
-        for event in self._end.receive(data):
-            match event:
-                case Asked():
-                    try:
-                        self._asked(event.message, event.raw)
-                    except BerError as problem:
-                        self._answer(event.message, Code.PROTOCOL_ERROR, str(problem))
-                    except Exception as problem:
-                        self._factory.log.error("front_error", error=repr(problem), exc_info=True)
-                        self._answer(event.message, Code.OTHER, "internal error")
-                case Abandoned(target):
-                    if taken := self._requests.pop(target, None):
-                        self._tags.pop(target, None)
-                        self._leave(taken)
-                case Closed():
-                    self._drop()
-                    self._lose()
-                case Broken(reason, notice):
-                    self._factory.log.warning("client_broke_protocol", client=self._number, reason=reason)
-                    self._drop()
-                    self._write(notice)
-                    self._lose()
-
     def pauseProducing(self) -> None:
         """The client does not read: take nothing more from it."""
         if self._unread is None:  # the transport says so again at each write
@@ -161,6 +137,7 @@
             self.transport.resumeProducing()
         if self._fan is not None:
             self._fan.pump()
+        self._take_up()
 
     def stopProducing(self) -> None:
         """The connection is over."""
@@ -186,10 +163,26 @@
 
     def _drop(self) -> None:
         self._end.close()
+        self._clear()
         requests, self._requests = self._requests, {}
+        self._tags.clear()
         for taken in requests.values():
             self._leave(taken)
 
+    def _broken(self, event: Broken) -> None:
+        self._factory.log.warning("client_broke_protocol", client=self._number, reason=event.reason)
+        self._drop()
+        self._write(event.notice)
+        self._lose()
+
+    def _holds(self, number: int) -> bool:
+        return number in self._requests
+
+    def _take_back(self, number: int) -> None:
+        if (taken := self._requests.pop(number, None)) is not None:
+            self._tags.pop(number, None)
+            self._leaving.append(taken)
+
     def _leave(self, taken: str | Search) -> None:
         if isinstance(taken, Search):
             taken.leave()
@@ -221,6 +214,19 @@
 
     # Requests
 
+    def _serve(self, event: Asked) -> None:
+        if len(self._requests) >= self._most and not _cancels(event.message.operation):
+            reason = f"more than {self._most} operations outstanding"
+            return self._broken(Broken(reason, notice_of_disconnection(Code.BUSY, reason)))
+        try:
+            self._asked(event.message, event.raw)
+        except BerError as problem:
+            self._answer(event.message, Code.PROTOCOL_ERROR, str(problem))
+        except Exception as problem:
+            self._factory.log.error("front_error", error=repr(problem), exc_info=True)
+            self._answer(event.message, Code.OTHER, "internal error")
+        return None
+
     def _asked(self, message: m.Message, raw: codec.Envelope) -> None:
         operation = message.operation
         if isinstance(operation, m.BindRequest):
@@ -263,6 +269,7 @@
             sink=sink,
             session=self._session,
             time_limit=limit,
+            present=partial(self.present, message.id),
         )
         self._requests[message.id] = ""
         self._tags[message.id] = m.RESPONSE_TAG[type(operation)]
@@ -306,10 +313,10 @@
         return None
 
     def _bind(self, message: m.Message, request: m.BindRequest) -> None:
-        if self._end.outstanding - {message.id}:  # section 4.2.1: a bind ends all that went before it
-            for other in list(self._requests):
-                self._leave(self._requests.pop(other))
-                self._end.final(other, m.Result(self._tags.pop(other), Code.OTHER))
+        requests, self._requests = self._requests, {}  # section 4.2.1: a bind ends all that went before it
+        for other, taken in requests.items():
+            self._leave(taken)
+            self._end.final(other, m.Result(self._tags.pop(other), Code.OTHER))
         self._identity = ""
         if request.version != 3:
             return self._answer(message, Code.PROTOCOL_ERROR, "only version 3 is spoken")
@@ -341,11 +348,18 @@
 
     def _cancel(self, message: m.Message, target: int) -> None:
         """RFC 3909: unlike Abandon, both operations are answered."""
-        taken = self._requests.pop(target, None)
-        if taken is None:
+        if (queued := self._queue.get(target)) is not None:
+            operation = queued.message.operation
+            if (reason := lasting(operation)) is not None:
+                return self._answer(message, Code.CANNOT_CANCEL, reason)
+            self._unqueue(target)
+            tag = int(m.RESPONSE_TAG[type(operation)])
+        elif target in self._requests:
+            tag = self._tags[target]
+            self._take_back(target)
+        else:
             return self._answer(message, Code.NO_SUCH_OPERATION)
-        self._leave(taken)
-        self._write(self._end.final(target, m.Result(self._tags.pop(target), Code.CANCELED)))
+        self._write(self._end.final(target, m.Result(tag, Code.CANCELED)))
         return self._answer(message, Code.SUCCESS)
 
     def _root(self, message: m.Message, request: m.SearchRequest) -> None:
@@ -366,6 +380,10 @@
         self._answer(message, Code.SUCCESS)
 
 
+def _cancels(operation: m.Request | m.Response) -> bool:
+    return isinstance(operation, m.ExtendedRequest) and operation.oid == m.Oid.CANCEL
+
+
 def _password_entry(value: bytes | None) -> str:
     """Whose password is changed (RFC 3062 section 2); empty: the user's own."""
     if not value:
--- a/yardbank/ldap/spread.py
+++ b/yardbank/ldap/spread.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from functools import partial
 from typing import TYPE_CHECKING, Protocol
 from urllib.parse import unquote
 
@@ -35,6 +36,9 @@
     def reading(self) -> bool:
         """Whether the client takes what is written to it."""
 
+    def present(self, number: int) -> bool:
+        """Whether it is there and still wants an answer to a request."""
+
     def pass_part(self, number: int, payload: codec.Envelope) -> None:
         """An entry or a reference."""
 
@@ -215,6 +219,7 @@
             session=self._session,
             time_limit=ask.time_limit,
             gather=self._fan.gather,
+            present=partial(self._client.present, self._id),
         )
         self._fan.budget.sent()
         self._numbers[ask.index] = ""
--- a/yardbank/ldap/state.py
+++ b/yardbank/ldap/state.py
@@ -49,14 +49,24 @@
     return codec.encode(m.Message(0, result))
 
 
+def lasting(operation: m.Request | m.Response) -> str | None:
+    """Why an operation can neither be abandoned nor cancelled (RFC 4511 section 4.11, RFC 3909 section 2.2)."""
+    if isinstance(operation, m.BindRequest):
+        return "a bind runs to its end"
+    if isinstance(operation, m.ExtendedRequest) and operation.oid in (m.Oid.START_TLS, m.Oid.CANCEL):
+        return f"{operation.oid} runs to its end"
+    return None
+
+
 class ServerEnd:
     """The end that takes requests: frames, decodes, and knows which message IDs are outstanding."""
 
     def __init__(self, max_message: int = 4 << 20, max_outstanding: int = 1000) -> None:
         self._framer = Framer(max_message)
         self._most = max_outstanding
-        self._outstanding: set[int] = set()
+        self._outstanding: dict[int, bool] = {}  # whether it may be abandoned
         self._over = False
+        self.received = 0  # octets
 
     @property
     def outstanding(self) -> frozenset[int]:
@@ -66,6 +76,7 @@
     def receive(self, data: bytes) -> list[ServerEvent]:
         """Take bytes in any split; nothing is read after the connection is over."""
         events: list[ServerEvent] = []
+        self.received += len(data)
         if self._over:
             return events
         try:
@@ -87,8 +98,8 @@
             self._over = True
             events.append(Closed())
         elif isinstance(operation, m.AbandonRequest):
-            if operation.target in self._outstanding:  # others are ignored, as section 4.11 asks
-                self._outstanding.discard(operation.target)
+            if self._outstanding.get(operation.target):  # others are ignored, as section 4.11 asks
+                del self._outstanding[operation.target]
                 events.append(Abandoned(operation.target))
         elif raw.id == 0:
             self._break(events, "messageID: 0 is the server's own")
@@ -98,7 +109,7 @@
             self._break(events, f"more than {self._most} operations outstanding", Code.BUSY)
         else:
             message = m.Message(raw.id, operation, codec.decode_controls(raw.controls))
-            self._outstanding.add(raw.id)
+            self._outstanding[raw.id] = lasting(operation) is None
             events.append(Asked(message, raw))
         return None
 
@@ -118,7 +129,7 @@
         """The one final answer; empty if it was given, or is not wanted any more."""
         if not self.owes(number):
             return b""
-        self._outstanding.discard(number)
+        del self._outstanding[number]
         if isinstance(result, codec.Envelope):
             return result.with_id(number)
         return codec.encode(m.Message(number, result, controls))
