A connection to a server that is gone leaves nothing to the collector

Ruled out: the start (35.8 MB resident before and after) and modules loaded. Cause: Twisted's connector and transport point at each other (gateway/dial.py), and with them the dialler and what it holds. Change: the session is made with its connection (backend.py); connector and transport are parted at the end (dial.py).

--- a/yardbank/gateway/dial.py
+++ b/yardbank/gateway/dial.py
@@ -34,6 +34,10 @@
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         self._lost(why_not(reason))
 
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+        """Connector and transport point at each other: parted, they go at once, and not at the collector's next sweep."""
+        connector.transport = None
+
 
 def dial(reactor: Any, server: ServerSpec, make: Callable[[Lost], Protocol], lost: Lost) -> Callable[[], None]:
     """Open a connection whose protocol ``make`` builds; ``lost`` is called exactly once. The result gives it up.
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -177,8 +177,16 @@
         self, server: ServerSpec, ready: Callable[[Connection], None], lost: Callable[[str], None]
     ) -> Callable[[], None]:
         """Open a connection; see ``gateway.api.Backend``."""
-        session = ServerSession(self._fields, lambda what: self._answer_spoilt(server.name, what))
-        return dial(self._reactor, server, lambda once: ServerConnection(self._now, ready, once, session), lost)
+
+        def spoilt(what: str) -> None:
+            self._answer_spoilt(server.name, what)
+
+        # The session is made with its connection and goes with it: what the dialler holds lives on until the
+        # collector's next sweep, as Twisted's connector and transport point at each other.
+        def made(once: Callable[[str], None]) -> ServerConnection:
+            return ServerConnection(self._now, ready, once, ServerSession(self._fields, spoilt))
+
+        return dial(self._reactor, server, made, lost)
 
     def _answer_spoilt(self, server: str, what: str) -> None:
         self._spoilt += 1
