--- a/tests/test_dial.py
+++ b/tests/test_dial.py
@@ -22,6 +22,13 @@
 
 def test_a_connection_that_is_gone_leaves_nothing_behind():
     reactor, held, lost = EPollReactor(), [], []
+
+    class Listener:
+        """Held by what dials: gone with the connection, not before."""
+
+        def __call__(self, reason):
+            lost.append(reason)
+
     backend = PlatformBackend(reactor, lambda: 0)
     with socket.create_server(("127.0.0.1", 0)) as listening:
         spec = ServerSpec("s-1", "0", "a", "127.0.0.1", listening.getsockname()[1])
@@ -29,7 +36,10 @@
         gc.disable()
         try:
             for _ in range(3):
-                backend.connect(spec, lambda made: held.extend(map(weakref.ref, (made, made._session))), lost.append)
+                listener = Listener()
+                held.append(weakref.ref(listener))
+                backend.connect(spec, lambda made: held.extend(map(weakref.ref, (made, made._session))), listener)
+                del listener
                 turn(reactor, lambda: select.select([listening], [], [], 0)[0])
                 far, _ = listening.accept()
                 far.sendall(AUTHENTICATED)
@@ -39,7 +49,7 @@
                 gone = len(lost)
                 turn(reactor, lambda gone=gone: len(lost) > gone)
                 reactor.iterate(0)
-            assert len(held) == 6 and not [each for each in held if each() is not None]
+            assert len(held) == 9 and not [each for each in held if each() is not None]
         finally:
             gc.enable()
             for each in reactor.removeAll():
--- a/yardbank/gateway/dial.py
+++ b/yardbank/gateway/dial.py
@@ -35,7 +35,7 @@
         self._lost(why_not(reason))
 
     def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
-        """Connector and transport point at each other: parted, they go at once, and not at the collector's next sweep."""
+        """Connector and transport point at each other: parted, they go at once, without the collector."""
         connector.transport = None
 
 
