--- a/tests/rig_runner.py
+++ b/tests/rig_runner.py
@@ -9,7 +9,9 @@
 import sys
 from pathlib import Path
 
+from tests import moments_faults
 from yardbank import interface as api
+from yardbank.gateway import sending
 from yardbank.policy import Router
 
 
@@ -33,7 +35,11 @@
 
 
 class Resends(Router):
-    """Sends a write again whatever became of it."""
+    """Sends a write again whatever became of it, and its gateway, the only one of its process, lets it."""
+
+    def __init__(self, settings):
+        super().__init__(settings)
+        sending.withheld_repeat = lambda request, now: None
 
     def may_resend(self, held):
         return held.attempts < 3
@@ -167,7 +173,8 @@
 
 
 BUGS = {made.__name__: made for made in (keeps_on, takes_twice, mute, restless, eager, deaf_to_stop, all_near)}
-EVERYWHERE = {"restless"}  # at all gateways
+BUGS |= moments_faults.BUGS
+EVERYWHERE = {"restless"} | moments_faults.EVERYWHERE  # at all gateways
 
 
 def serve(fault):
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -13,6 +13,7 @@
 from yardbank.interface import RequestClass
 from yardbank.platform import client
 from yardbank.platform.admission import Admission, Descriptors, State
+from yardbank.platform.closing import LINGER
 from yardbank.platform.connection import STOPPING, ClientConnection
 
 COME_AGAIN = 250 * MS  # told to a connection for which there is no room
@@ -41,10 +42,30 @@
             ("arrived", "rejected", "turned_away", "timed_out", "failed_unsent", "closed_unanswered"), 0
         )
         self._connections: dict[int, ClientConnection] = {}
+        self._closing: dict[int, int] = {}  # connections that are being closed, the oldest first: since when
         self._numbers = count()
         self._cancel_sweep: Callable[[], None] | None = None
-        self._logged_at = self._rejected_logged_at = 0
+        self._said_at: dict[str, int] = {}  # by event: when it was last logged
         self._emptied: Callable[[], None] | None = None
+        self._when_room: Callable[[], None] | None = None
+
+    @property
+    def held(self) -> int:
+        """Connections that hold a descriptor, those that are being closed among them."""
+        return len(self.admission) + len(self._closing)
+
+    def room(self) -> int:
+        """How many connections may be accepted now; where there is none, the oldest that are being closed make way."""
+        room = self._descriptors.for_clients(self.gateway.server_connections) + self._descriptors.closing - self.held
+        if room > 0 or not self._closing:
+            return max(1, room)
+        for number in list(self._closing):
+            self._connections[number].make_way()
+        return 0
+
+    def when_room(self, call: Callable[[], None]) -> None:
+        """``call`` once a connection has left: until then nothing is accepted."""
+        self._when_room = call
 
     def buildProtocol(self, addr: Any) -> ClientConnection:
         return ClientConnection(self, next(self._numbers))
@@ -57,17 +78,15 @@
         way = self.admission.arrived(connection.number, now, most)
         if way is not None:
             self.counts["turned_away"] += 1
-            if now - self._logged_at > LOG_EVERY:
-                self._logged_at = now
-                self._log.warning("client_connections_bound", bound=most)
+            self._warn("client_connections_bound", bound=most)
+        self._connections[connection.number] = connection
+        if self._cancel_sweep is None:
+            self._arm()
         if way == connection.number:
             connection.close(client.full(self.come_again, "too many connections"))
             return
         if way is not None:
             self._connections[way].close(client.full(self.come_again, "too many connections: this one was not in use"))
-        self._connections[connection.number] = connection
-        if self._cancel_sweep is None:
-            self._arm()
 
     def became(self, connection: ClientConnection, state: State) -> None:
         """What a connection is about now."""
@@ -76,20 +95,42 @@
         if state is State.IDLE:
             self.admission.served(connection.number, now)
 
+    def closes(self, connection: ClientConnection) -> None:
+        """Nothing of a connection is served any more; it holds its descriptor until it has left."""
+        self.admission.left(connection.number)
+        self._closing.setdefault(connection.number, self.gateway.now())
+
+    def lingers(self, connection: ClientConnection) -> None:
+        """All that is left of a connection is to wait for its client's end."""
+        if self._when_room is not None:
+            connection.make_way()
+
     def left(self, connection: ClientConnection) -> None:
         """A connection is gone."""
         self.admission.left(connection.number)
+        self._closing.pop(connection.number, None)
         self._connections.pop(connection.number, None)
+        when_room, self._when_room = self._when_room, None
+        if when_room is not None:
+            when_room()
         if self._emptied is not None and not self._connections:
             self._emptied()
 
     def rejected(self, reason: str) -> None:
         """A client sent what cannot be served."""
         self.counts["rejected"] += 1
+        self._warn("client_rejected", reason=reason[:200], rejected=self.counts["rejected"])
+
+    def queue_bound(self, waiting: int) -> None:
+        """So many queries wait on one connection that it is not read any more for now."""
+        self._warn("client_queue_bound", waiting=waiting)
+
+    def _warn(self, event: str, **facts: Any) -> None:
+        """The first of each event in a second; the view has the counts."""
         now = self.gateway.now()
-        if now - self._rejected_logged_at > LOG_EVERY:  # the latest of each second; the view has the count
-            self._rejected_logged_at = now
-            self._log.warning("client_rejected", reason=reason[:200], rejected=self.counts["rejected"])
+        if now - self._said_at.get(event, now - LOG_EVERY) >= LOG_EVERY:
+            self._said_at[event] = now
+            self._log.warning(event, **facts)
 
     def _arm(self) -> None:
         self._cancel_sweep = self.gateway.call_at(self.gateway.now() + 250 * MS, self._sweep)
@@ -97,19 +138,22 @@
     def _sweep(self) -> None:
         """One timer for all connections, and none while there are none."""
         self._cancel_sweep = None
-        for number, state in self.admission.overdue(self.gateway.now()):
+        now = self.gateway.now()
+        for number, state in self.admission.overdue(now):
             connection, reason = self._connections[number], f"the connection {state.value}"
             if state is State.IDLE:
-                if connection.unread():  # it has just asked: the next look finds it busy
-                    continue
-                connection.let_go(reason)
+                if connection.ending:
+                    connection.overdue()
+                elif not connection.unread():  # else it has just asked: the next look finds it busy
+                    connection.let_go(reason)
+                continue
+            self.counts["timed_out"] += 1
+            if state is State.STUCK or connection.ending:
+                connection.cut()
             else:
-                self.counts["timed_out"] += 1
-                if state is State.STUCK:
-                    connection.cut()
-                else:
-                    connection.close(client.turned_away(self.come_again, reason))
-            self.admission.left(number)
+                connection.close(client.turned_away(self.come_again, reason))
+        for number in [number for number, since in self._closing.items() if now - since >= LINGER]:
+            self._connections[number].overdue()
         if self._connections:
             self._arm()
 
@@ -129,10 +173,11 @@
         if not self._connections:
             emptied()
         for connection in list(self._connections.values()):
-            if not connection.unread():
+            if not connection.unread() and not connection.ending:
                 connection.let_go(STOPPING)
 
     def cut_all(self) -> None:
         """Nothing is waited for any longer."""
         for connection in list(self._connections.values()):
+            connection.overdue()
             connection.cut()
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -16,15 +16,22 @@
 from yardbank.gateway.api import MS, SECOND, Limits
 from yardbank.gateway.gateway import Gateway
 from yardbank.gateway.positions import ClockPositions
+from yardbank.platform import listening
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
 from yardbank.platform.backend import PlatformBackend
 from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
+from yardbank.platform.signals import Signals
+from yardbank.platform.statement import out_of_reach
 from yardbank.platform.watch import Watcher
 
 LINGER = 600 * MS  # after SIGTERM clients still come for a moment: they are served as ever
+# The platform kills no sooner than the longest deadline, taken as 3 s where it is longer, and 0.7 s more: what is owed
+# has its answer before that, also where its own deadline is later.
+LONGEST_GRACE = 3 * SECOND
 LAST_WORDS = 500 * MS  # for clients to take what was written to them
+LAST_TURNS = 256  # of the reactor, for those who wait to be accepted when the port is to be closed
 VIEW_EVERY = 5 * SECOND
 
 
@@ -37,7 +44,10 @@
 class Service:
     """One gateway on the platform."""
 
-    def __init__(self, config: PlatformConfig, reactor: Any, log: Any) -> None:
+    def __init__(
+        self, config: PlatformConfig, reactor: Any, log: Any, listen: Callable[..., Any] = listening.listen
+    ) -> None:
+        self._listen = listen
         self.config, self._reactor, self.log = config, reactor, log
         descriptors = Descriptors.of(config.sockets)
         settings = config.settings
@@ -48,10 +58,12 @@
             connect_timeout=settings.connect_timeout,
             probe_timeout=settings.connect_timeout,
             idle_close=config.idle_close * 3 // 4,
-            stop_grace=max(kind.deadline for kind in settings.classes),
+            stop_grace=min(LONGEST_GRACE, max(kind.deadline for kind in settings.classes)),
         )
         seconds = wall_seconds()
-        backend = PlatformBackend(reactor, lambda: self.gateway.now())
+        backend = PlatformBackend(reactor, lambda: self.gateway.now(), settings.report_fields, log)
+        for name in out_of_reach(settings.classes):
+            log.warning("class_out_of_reach", request_class=name, note="no statement's comment can hold its name")
         self.gateway = Gateway(
             settings,
             backend,
@@ -60,7 +72,8 @@
             seconds=seconds,
             log=log,
             positions=ClockPositions(),
-            connections_bound=lambda: descriptors.for_servers(len(self.admission)),
+            connections_bound=lambda: descriptors.for_servers(self.factory.held),
+            before_send=lambda: self.watcher.catch_up(),
         )
         self.admission = Admission(AdmissionLimits())
         self.factory = ClientFactory(
@@ -69,13 +82,13 @@
         self.watcher = Watcher(config.discovery, config.known.generation, self._listed, reactor, log)
         self._port: Any = None
         self._last: Any = None
-        self._ended = False
+        self._ended = self._watch_over = False
 
     def start(self) -> None:
         """Take the list that is known, listen, watch discovery."""
         self.gateway.apply_list(specs(self.config.known), self.config.known.generation)
         listen = self.config.listen
-        self._port = self._reactor.listenTCP(listen.port, self.factory, backlog=1024, interface=listen.host)
+        self._port = self._listen(self._reactor, listen.host, listen.port, self.factory)
         self.watcher.start()
         self._view()
         classes = {kind.name: (kind.aim // MS, kind.deadline // MS) for kind in self.config.settings.classes}
@@ -95,8 +108,21 @@
         self.log.info("view", **self.gateway.view(), clients=clients, **self.factory.counts)
         self.gateway.call_at(self.gateway.now() + VIEW_EVERY, self._view)
 
+    def signalled(self, number: int, environment: Mapping[str, str]) -> None:
+        """SIGHUP brings a new configuration, SIGTERM and SIGINT the end; again is once."""
+        if number == signal.SIGHUP:
+            self.reload(environment)
+        else:
+            self.stop()
+
     def reload(self, environment: Mapping[str, str]) -> None:
-        """Take a new configuration: discovery's address changes in service, the rest with a restart."""
+        """Take a new configuration: discovery's address changes in service, the rest with a restart.
+
+        While the gateway stops, discovery is followed as long as it is watched; then nothing is begun any more.
+        """
+        if self._watch_over:
+            self.log.info("reload_ignored", note="the gateway is ending")
+            return
         try:
             config = load_config(environment)
         except PlatformError as problem:
@@ -118,12 +144,16 @@
         """Sockets are looked at between two rounds of timers: what came while the process was busy is taken first."""
         self._reactor.callLater(0, then, *arguments)
 
-    def _drain(self, port: Any) -> None:
-        port.stopListening()
+    def _drain(self, port: Any, turns: int = LAST_TURNS) -> None:
         self.factory.close_idle()
+        if port.accept_waiting() and turns > 0:  # there was no room for some: there is when others have gone
+            self._look_first(self._drain, port, turns - 1)
+            return
+        port.stopListening()
         self.gateway.stop().addCallback(lambda _: self._look_first(self._stopped))
 
     def _stopped(self) -> None:
+        self._watch_over = True
         self.watcher.stop()
         self._last = self._reactor.callLater(LAST_WORDS / 1e9, self._end)
         self.factory.close_all(self._end)
@@ -154,8 +184,8 @@
     return structlog.get_logger()
 
 
-def main() -> int:
-    """Serve until told to stop; the exit code."""
+def main(signals: Signals) -> int:
+    """Serve until told to stop; the exit code. Signals that came meanwhile are carried out once it serves."""
     log = _log()
     try:
         config = load_config(os.environ)
@@ -168,14 +198,12 @@
     reactor: Any = installed
     reactor.seconds = time.monotonic  # timers must not move when the wall clock is set
     service = Service(config, reactor, log)
-    signal.signal(signal.SIGTERM, lambda number, frame: reactor.callFromThread(service.stop))
-    signal.signal(signal.SIGINT, lambda number, frame: reactor.callFromThread(service.stop))
-    signal.signal(signal.SIGHUP, lambda number, frame: reactor.callFromThread(service.reload, os.environ))
     try:
         service.start()
     except CannotListenError as problem:
         print(f"yardbank: NODE_LISTEN: {problem}", file=sys.stderr)
         return 2
+    signals.hand_over(lambda number: reactor.callFromThread(service.signalled, number, os.environ))
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)  # requests are short-lived: a sweep at each 700 objects costs a tenth
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -12,10 +13,12 @@
 from yardbank.gateway.api import MS, SECOND
 from yardbank.platform.config import Address
 from yardbank.platform.discovery import Watch
-from yardbank.platform.listing import Listing
+from yardbank.platform.listing import Listing, joined
+from yardbank.platform.values import Sign
 from yardbank.platform.vigil import SILENCE, Steps, Vigil
 
 LOG_EVERY = SECOND  # of what discovery can cause at will
+READ_SIZE, MAX_READS = 64 << 10, 16  # octets at a time, and how many times in a row
 
 
 class _Watching(Protocol):
@@ -40,6 +43,18 @@
         if not self.dropped:
             self._watcher.ended(self, reason.getErrorMessage())
 
+    def unread(self) -> bytes:
+        """Octets that lie in the socket; none also if it has ended, which is for the reactor to see."""
+        held = getattr(self.transport, "socket", None)
+        if held is None or self.dropped or self.watch.done:
+            return b""
+        try:
+            if not held.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
+                return b""
+            return bytes(held.recv(READ_SIZE))
+        except OSError:  # nothing there, or a reset
+            return b""
+
     def drop(self) -> None:
         """What it still brings is of no interest."""
         self.dropped = True
@@ -72,6 +87,7 @@
         self._take, self._reactor, self._log = take, reactor, log
         self._vigil = Vigil()
         self._open: dict[int, _Watching] = {}
+        self._reading = False
         self._holes = False  # a list was lost on its way: another of its generation may be held
         self._timer: Any = None  # due at ``_due_at`` or before: a tick too early does nothing
         self._due_at = 0
@@ -82,10 +98,13 @@
         self._do(self._vigil.begin(self._now()))
 
     def move(self, address: Address) -> None:
-        """Discovery is elsewhere from now on; the list held stays until the new address tells another."""
+        """Discovery is elsewhere from now on; the list held stays until the new address tells another.
+
+        While nobody watches (before the start, after the stop) the address is only noted.
+        """
         if address != self.address:
             self.address = address
-            self.start()
+            self._do(self._vigil.move(self._now()))
 
     def stop(self) -> None:
         """Watch no more."""
@@ -110,7 +129,10 @@
         host, port = self.address.host, self.address.port
         made = _Watching(self, number, Watch(f"{host}:{port}", 0 if self._holes else self.generation))
         self._open[number] = made
-        made.connector = self._reactor.connectTCP(host, port, _Factory(made), timeout=2 * SILENCE / 1e9)
+        try:
+            made.connector = self._reactor.connectTCP(host, port, _Factory(made), timeout=2 * SILENCE / 1e9)
+        except Exception as problem:  # no descriptor, say: a dial that failed, and the next comes after its pause
+            self.ended(made, f"no dial: {problem!r}")
 
     def _say(self, say: Callable[..., None], event: str, **facts: Any) -> None:
         """At most one line a second of each event, which tells how many were left out."""
@@ -138,31 +160,64 @@
         self._timer = self._reactor.callLater(0, self._tick)
 
     def _tick(self) -> None:
+        """A turn reads one piece of each socket: the rest of a long list is read before it counts as silence."""
         self._timer = None
+        self.catch_up()
         self._do(self._vigil.tick(self._now()))
 
     def _lost(self, watching: _Watching) -> None:
         if watching.watch.waiting:
             self._holes = True
 
+    def catch_up(self) -> None:
+        """Take in now what lies unread, as if the reactor had looked; for whoever is about to count on the list.
+
+        One system call if there is nothing. Within the taking of a list it does nothing: ``take`` is not entered twice.
+        """
+        if not self._reading:
+            for watching in tuple(self._open.values()):
+                if data := watching.unread():
+                    watching.dataReceived(data)
+
     def heard(self, watching: _Watching, data: bytes) -> None:
-        """Octets of a watch that is gone by, or may be."""
-        was_answered, number = watching.watch.answered, watching.number
+        """Octets of a watch that is gone by, or may be; what lies in the socket behind them is taken along."""
+        was_answered, number, lists = watching.watch.answered, watching.number, []
+        problem: ValueError | None = None
+        self._reading = True
         try:
-            for found in watching.watch.receive(data):
-                self._do(self._vigil.lived(number, self._now()))
-                if isinstance(found, Listing):
-                    self._told(found)
-        except ValueError as problem:
-            self._holes = True
-            self._say(self._log.error, "discovery_list_rejected", problem=str(problem)[:300])
-            watching.drop()
-            self.ended(watching, "what it brought is no list")
-            return
-        if watching.watch.answered and not was_answered:
+            for _ in range(MAX_READS):
+                for found in watching.watch.receive(data):
+                    self._do(self._vigil.lived(number, self._now(), begun=found is Sign.BEGUN))
+                    if isinstance(found, Listing):
+                        lists.append(found)
+                if not (data := watching.unread()):
+                    break
+        except ValueError as spoilt:
+            problem = spoilt
+        try:
+            if lists:
+                self._told(joined(lists))
+        except ValueError as spoilt:
+            problem = spoilt
+        except Exception as fault:  # an error of the program's must not end the watch, nor the send that looked here
+            self._log.error("list_error", error=repr(fault), exc_info=True)
+            problem = ValueError("it could not be applied")
+        finally:
+            self._reading = False
+        if problem is not None:
+            self._rejected(watching, problem)
+        elif watching.watch.answered and not was_answered:
             self._do(self._vigil.answered(number, self._now()))
 
+    def _rejected(self, watching: _Watching, problem: Exception) -> None:
+        self._holes = True
+        self._say(self._log.error, "discovery_list_rejected", problem=str(problem)[:300])
+        watching.drop()
+        self.ended(watching, "what it brought is no list")
+
     def _told(self, listing: Listing) -> None:
+        if not listing.reset and listing.generation < self.generation:  # changes of another past than the list held
+            raise ValueError(f"generation: {listing.generation} after {self.generation}, and not the whole list")
         self._take(listing)
         if listing.generation != self.generation:
             self._vigil.news()
