--- a/benchmarks/channels.py
+++ b/benchmarks/channels.py
@@ -203,7 +203,9 @@
     if fed:
         fleet.clock.at(fleet.clock.now + MS, fleet.feed)
     spans = [span for span in fleet.run() if 6 <= span.second < 14]
-    counts = {key: sum(span.counts[key] for span in spans) for key in ("probes", "feed", "miss", "ok", "good", "wanted")}
+    counts = {
+        key: sum(span.counts[key] for span in spans) for key in ("probes", "feed", "miss", "ok", "good", "wanted")
+    }
     return [
         str(gateways), f"{1200 * thick:,}", "one for all" if fed else "each alone", f"{counts['probes'] / 8 / len(fleet.servers):.1f}",
         f"{counts['feed'] / 8 / len(fleet.servers):.1f}", f"{1000 * counts['miss'] / max(1, counts['ok']):.2f}",
@@ -219,7 +221,11 @@
     quick = arguments.quick
     sizes = SIZES[:1] if quick else SIZES
     with ProcessPoolExecutor(arguments.jobs) as pool:
-        asked = [pool.submit(probes, (size, fed, thick)) for size, thick in (((8, 1),) if quick else ((48, 1), (200, 1), (200, 5))) for fed in (False, True)]
+        asked = [
+            pool.submit(probes, (size, fed, thick))
+            for size, thick in (((8, 1),) if quick else ((48, 1), (200, 1), (200, 5)))
+            for fed in (False, True)
+        ]
         sent = [pool.submit(traffic, (size, items)) for size in reversed(sizes) for items in (0, 60)]
         tables, bars = [], {}
         first, bars = handing(pool, 4 if quick else SEEDS)
@@ -227,7 +233,14 @@
         head = ["gateways", "items a minute on each of 12 channels", "all owned, s", "times owned", "most at one gateway",
                 "feeds and leases, octets/s, mean", "most", "all of the link, mean", "withheld", "faults"]  # fmt: skip
         rows = [one.result() for one in reversed(sent)]
-        tables.append(table("Traffic of one gateway", head, rows, ["Over 10 s, 20 s after all were owned. Every gateway follows every channel."]))
+        tables.append(
+            table(
+                "Traffic of one gateway",
+                head,
+                rows,
+                ["Over 10 s, 20 s after all were owned. Every gateway follows every channel."],
+            )
+        )
         head = ["gateways", "requests a second, over all", "positions", "questions a second at one server, by all", "of them for the feed",
                 "stale reads, in 1,000", "served in time"]  # fmt: skip
         notes = ["The virtual fleet: 12 groups of a primary and 5 copies, servers that"
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -42,7 +42,7 @@
     circles.way = Effect(delay=0.0005, jitter=0.001, lose=loss)
     if slow:  # a tenth of the fleet stops for a second and a half now and then
         random = Random(size)
-        for name in names[:: 10]:
+        for name in names[::10]:
             at = circles.now
             while at < circles.now + WATCHED * SECOND:
                 at += round(random.expovariate(1 / 20) * SECOND)
@@ -172,5 +172,3 @@
 
 if __name__ == "__main__":
     main()
-
-
--- a/benchmarks/plan.py
+++ b/benchmarks/plan.py
@@ -73,7 +73,9 @@
     return rows
 
 
-def judged(asked: Problem, shares: dict[tuple[str, str, str], dict[str, float]], without: set[str]) -> tuple[float, float, float]:
+def judged(
+    asked: Problem, shares: dict[tuple[str, str, str], dict[str, float]], without: set[str]
+) -> tuple[float, float, float]:
     """Crossing and unserved as parts of the demand, and the worst server's load, with some servers gone."""
     left = {s.name: s for s in asked.servers if s.name not in without}
     load, crossing = dict.fromkeys(left, 0.0), 0.0
@@ -134,7 +136,14 @@
     """Bounded reads at 75 % of what four copies of differing speed can do, open loop, for 8 s."""
     members = {"numbers": [("n0", "norte"), *((f"n{n}", "norte") for n in range(1, 5))]}
     capacity = Capacity(slots=1, queue=200, read_s=0.01)
-    world = World(reactor, Recorder(), daemon=True, capacity=capacity, groups={"numbers": "ou=numbers,dc=porting"}, members=members)
+    world = World(
+        reactor,
+        Recorder(),
+        daemon=True,
+        capacity=capacity,
+        groups={"numbers": "ou=numbers,dc=porting"},
+        members=members,
+    )
     world.load(20)
     slow = {"n1": 1.0, "n2": 1.0, "n3": 2.0, "n4": 4.0}
     for name, factor in slow.items():
@@ -147,7 +156,8 @@
         mean = sum(1 / factor for factor in slow.values()) / len(slow)
         rows_ = "".join(f"    {n} = {1 / factor / mean:.4f}\n" for n, factor in slow.items())
         (folder / "plan.hcl").write_text(
-            f'plan "norte" {{\n  list = "{list_hash(specs)}"\n  made = {time.time():.3f}\n  weights {{\n{rows_}  }}\n}}\n')
+            f'plan "norte" {{\n  list = "{list_hash(specs)}"\n  made = {time.time():.3f}\n  weights {{\n{rows_}  }}\n}}\n'
+        )
     world.watched = folder
     yield world.start_gateway()
     clients = []
--- a/tests/bruteforce.py
+++ b/tests/bruteforce.py
@@ -115,10 +115,15 @@
         parts = list(pool.map(judged, range(64)))
     cases, feasible = (sum(part[n] for part in parts) for n in (0, 1))
     row = [f"{cases:,}", f"{feasible:,}", f"{cases - feasible:,}", "0"]
-    notes = ["Every placement of 1 to 6 servers in 3 zones, 3 capacities, 3 spill limits, first server warm or cold. Judge: "
-             "least-cost flow in rationals by successive shortest paths."]
-    keep("plan-grid", "Plans against brute force", [
-        table("Every case", ["cases", "feasible", "not feasible", "another verdict or optimum"], [row], notes)])
+    notes = [
+        "Every placement of 1 to 6 servers in 3 zones, 3 capacities, 3 spill limits, first server warm or cold. Judge: "
+        "least-cost flow in rationals by successive shortest paths."
+    ]
+    keep(
+        "plan-grid",
+        "Plans against brute force",
+        [table("Every case", ["cases", "feasible", "not feasible", "another verdict or optimum"], [row], notes)],
+    )
 
 
 if __name__ == "__main__":
--- a/tests/channels_fleet.py
+++ b/tests/channels_fleet.py
@@ -172,7 +172,9 @@
                     yield f"{name} {channel}: {place} after {last}"
                 same = place == (last[0], last[1] + 1)
                 whole = place[1] == 1 and self.published.get((channel, last[0])) == last[1]
-                whole = whole and not any(c == channel and last[0] < e < place[0] and n for (c, e), n in self.published.items())
+                whole = whole and not any(
+                    c == channel and last[0] < e < place[0] and n for (c, e), n in self.published.items()
+                )
                 if not (same or whole or gap):
                     yield f"{name} {channel}: from {last} to {place}, no gap told"
                 last, gap = place, False
--- a/tests/drawn_play.py
+++ b/tests/drawn_play.py
@@ -76,7 +76,13 @@
         settings["services"] = [
             {**kind, "name": names["class"][n]} for n, kind in enumerate(told["settings"]["services"])
         ]
-        document = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "5", "settings": settings, "known": listed}
+        document = {
+            "listen": "127.0.0.1:1",
+            "discovery": "127.0.0.1:2",
+            "seed": "5",
+            "settings": settings,
+            "known": listed,
+        }
         config = read_config(orjson.dumps(document))
         self.kinds = {kind.name: kind for kind in config.settings.classes}
         backend = PlatformBackend(self.reactor, lambda: self.gateway.now(), config.settings.report_fields, self.log)
@@ -143,7 +149,14 @@
     def statements(self, octets):
         """What was written to a server, by numbers."""
         for number, name, left, group, after, verb in _STATEMENT.findall(octets):
-            yield (number, self.names["class"].index(name.decode()), left, self.names["group"].index(int(group)), after, verb)
+            yield (
+                number,
+                self.names["class"].index(name.decode()),
+                left,
+                self.names["group"].index(int(group)),
+                after,
+                verb,
+            )
         if not _STATEMENT.search(octets) and octets:
             yield octets
 
--- a/tests/drawn_wire.py
+++ b/tests/drawn_wire.py
@@ -122,5 +122,11 @@
 
     def change(self, server, how):
         server %= len(self.told["servers"])
-        mode, started = (("quiescing", None), ("dead", None), ("live", None), ("live", self.now - SECOND), ("live", None))[how]
+        mode, started = (
+            ("quiescing", None),
+            ("dead", None),
+            ("live", None),
+            ("live", self.now - SECOND),
+            ("live", None),
+        )[how]
         self.listed("INCREMENTAL", [self.member(server, mode, started)])
--- a/tests/grants_bus.py
+++ b/tests/grants_bus.py
@@ -42,7 +42,9 @@
         end = self.now + span
         while True:
             self.flush()
-            due = [at for name, part in self.parts.items() if name not in self.cut and (at := part.next_at()) is not None]
+            due = [
+                at for name, part in self.parts.items() if name not in self.cut and (at := part.next_at()) is not None
+            ]
             self.now = min(end, max(self.now + 1, min(due, default=end)))
             if self.now >= end:
                 return
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -108,4 +108,17 @@
         time.sleep(0.01)
 
 
-__all__ = ["MS", "SECOND", "START", "Member", "Report", "Role", "World", "answer_all", "group", "sent", "told", "wait_for"]
+__all__ = [
+    "MS",
+    "SECOND",
+    "START",
+    "Member",
+    "Report",
+    "Role",
+    "World",
+    "answer_all",
+    "group",
+    "sent",
+    "told",
+    "wait_for",
+]
--- a/tests/rig_runner.py
+++ b/tests/rig_runner.py
@@ -84,7 +84,10 @@
     """Hears nothing of other gateways."""
 
 
-FAULTS = {made.__name__: made for made in (Forgets, RefusesAll, Resends, IgnoresDrains, ReadsAnywhere, Dies, DeafToPeers, Credulous)}
+FAULTS = {
+    made.__name__: made
+    for made in (Forgets, RefusesAll, Resends, IgnoresDrains, ReadsAnywhere, Dies, DeafToPeers, Credulous)
+}
 
 
 # Faults of the parts on the link: each changes one thing of a part's class.
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -211,5 +211,16 @@
         {"kind": "answer", "tag": "c", "at": 2.5, "code": 51},
     ]
     status, write = by_class(facts)
-    assert (status.name, status.asked, status.served, status.by_copy, status.by_primary, status.waited) == ("status", 2, 2, 1, 1, 1)
-    assert status.quantile(0.99) == pytest.approx(0.07) and (write.asked, write.served, write.quantile(0.5)) == (1, 0, 0.0)
+    assert (status.name, status.asked, status.served, status.by_copy, status.by_primary, status.waited) == (
+        "status",
+        2,
+        2,
+        1,
+        1,
+        1,
+    )
+    assert status.quantile(0.99) == pytest.approx(0.07) and (write.asked, write.served, write.quantile(0.5)) == (
+        1,
+        0,
+        0.0,
+    )
--- a/tests/test_audit_frames.py
+++ b/tests/test_audit_frames.py
@@ -1,6 +1,5 @@
 """The judge's own reader of LDAP messages, against the program's codec and against garbled octets."""
 
-
 import pytest
 
 from yardbank.audit.frames import TAG, Frames
--- a/tests/test_audit_terms.py
+++ b/tests/test_audit_terms.py
@@ -76,7 +76,9 @@
 
 
 def test_a_cancelled_request_has_gone_and_the_others_of_its_connection_have_not():
-    facts = in_order(taken("c1/1", message=2), taken("c1/2", 1.1, message=3)[1:], reached(2.0, what="abandon", message=2))
+    facts = in_order(
+        taken("c1/1", message=2), taken("c1/2", 1.1, message=3)[1:], reached(2.0, what="abandon", message=2)
+    )
     assert list(departures(facts)) == ["c1/1"]
     both = in_order(facts, reached(3.0))
     assert {tag: fact["at"] for tag, fact in departures(both).items()} == {"c1/1": 2.0, "c1/2": 3.0}
@@ -132,7 +134,9 @@
     assert not cold_sum(in_order([start(), *calls(20, 10.0), *calls(20, 11.2)]), bounds).held
     warmer = cold_sum([start(), *calls(69, 12.0)], bounds)  # 2 x 25 x 1.25 = 62.5: 80 with chance
     assert warmer.held and not cold_sum([start(), *calls(81, 12.0)], bounds).held
-    assert not cold_sum([start(), *calls(121 + 1, 13.9999)], bounds).held  # runs on beyond the warming up: N is near 100
+    assert not cold_sum(
+        [start(), *calls(121 + 1, 13.9999)], bounds
+    ).held  # runs on beyond the warming up: N is near 100
     assert not cold_sum([start(), *calls(500, 14.1)], bounds).held  # nothing was sent while it was cold: no proof
     assert cold_sum([start(), begun("x", 10.0), *calls(500, 14.1)], bounds).held  # a warm one may get any number
     assert not cold_sum([*calls(500, 9.0), start()], bounds).held
@@ -169,8 +173,12 @@
 def test_a_change_counts_as_told_when_written_or_after_the_bound():
     listed = fact("listed", 10.0)
     assert not broken(listed, begun("x", 16.5)) and broken(listed, begun("x", 16.501))
-    assert broken(listed, fact("told", 11.0), begun("x", 11.501)) and not broken(listed, fact("told", 11.0), begun("x", 11.5))
-    assert not broken(listed, fact("told", 18.0), begun("x", 16.4)) and broken(listed, fact("told", 18.0), begun("x", 16.6))
+    assert broken(listed, fact("told", 11.0), begun("x", 11.501)) and not broken(
+        listed, fact("told", 11.0), begun("x", 11.5)
+    )
+    assert not broken(listed, fact("told", 18.0), begun("x", 16.4)) and broken(
+        listed, fact("told", 18.0), begun("x", 16.6)
+    )
     assert broken(listed, begun("x", 12.6), bound=2.0) and not broken(listed, begun("x", 12.6), bound=2.0, grace=0.7)
 
 
--- a/tests/test_channels_face.py
+++ b/tests/test_channels_face.py
@@ -73,7 +73,9 @@
         face.follow("news", lambda item, name=name: heard[name].append(item.data))
     who, face = owned(programs, on_ended=lambda channel, epoch: ends.append((channel, epoch)))
     other = next(one for name, one in programs.faces.items() if name != who)
-    assert other.publish("news", b"x") == "not the owner" and face.publish("news", bytes(MAX_DATA + 1)).startswith("too long")
+    assert other.publish("news", b"x") == "not the owner" and face.publish("news", bytes(MAX_DATA + 1)).startswith(
+        "too long"
+    )
     assert face.publish("news", b"1") == "" and face.publish("news", b"2") == ""
     programs.run(200 * MS)
     assert all(found == [b"1", b"2"] for found in heard.values())
@@ -82,7 +84,9 @@
     programs.run(SECOND)
     assert done == [None] and face.part.held() == [] and [channel for channel, _ in ends] == ["news"]
     lines = [facts for event, facts in programs.logs[who].lines if event == "channel"]
-    assert [line["what"] for line in lines] == ["owned", "ended"] and lines[0]["epoch"] == lines[1]["epoch"] == ends[0][1]
+    assert [line["what"] for line in lines] == ["owned", "ended"] and lines[0]["epoch"] == lines[1]["epoch"] == ends[0][
+        1
+    ]
     assert sum(bool(one.part.held()) for one in programs.faces.values()) == 1
     assert not any(facts.get("what") == "gap" for log in programs.logs.values() for _, facts in log.lines)
 
--- a/tests/test_channels_faults.py
+++ b/tests/test_channels_faults.py
@@ -52,7 +52,9 @@
     assert found.owner(channel) in ((old,), ()) or found.owner(channel) != (new,)
     found.circles.resume(new)
     found.run(TERM + 2 * SECOND)
-    assert found.all_owned() and HANDING not in {own.state for own in found.running[old].part.ownership.channels.values()}
+    assert found.all_owned() and HANDING not in {
+        own.state for own in found.running[old].part.ownership.channels.values()
+    }
     sound(found)
 
 
@@ -68,7 +70,9 @@
     found.stop(second)  # the second epoch ends as well
     found.start(second)
     found.run(3 * SECOND)
-    assert found.publish(old, channel) == "not the owner"  # the program wakes first: whatever it thinks, the lease is asked
+    assert (
+        found.publish(old, channel) == "not the owner"
+    )  # the program wakes first: whatever it thinks, the lease is asked
     found.circles.resume(old)
     found.run(5 * SECOND)
     assert found.all_owned()
@@ -102,7 +106,9 @@
     assert found.all_owned()
     sound(found)
     told = sum(gap.missing or 0 for gap in found.gaps())
-    heard = sum(isinstance(event, Delivered) for one in found.listeners for some in one.heard.values() for _, event in some)
+    heard = sum(
+        isinstance(event, Delivered) for one in found.listeners for some in one.heard.values() for _, event in some
+    )
     assert told < heard / 200  # a tenth is lost on each way; nearly all of that is mended
 
 
--- a/tests/test_channels_items.py
+++ b/tests/test_channels_items.py
@@ -31,7 +31,12 @@
     kept = [one for one in items for _ in range(draw(st.integers(0, 2)))]
     order = draw(st.lists(st.integers(0, 6), min_size=len(kept), max_size=len(kept)))
     ranked = sorted(range(len(kept)), key=lambda number: number + order[number])
-    return told, items, [kept[number] for number in ranked], draw(st.lists(st.integers(0, 300), min_size=len(kept), max_size=len(kept)))
+    return (
+        told,
+        items,
+        [kept[number] for number in ranked],
+        draw(st.lists(st.integers(0, 300), min_size=len(kept), max_size=len(kept))),
+    )
 
 
 @given(arrivals())
--- a/tests/test_crossings_closing.py
+++ b/tests/test_crossings_closing.py
@@ -22,8 +22,6 @@
     made.close()
 
 
-
-
 def to_its_end(wire, far):
     """What a client reads up to the gateway's end; a reset raises."""
     got = b""
--- a/tests/test_crossings_ldap.py
+++ b/tests/test_crossings_ldap.py
@@ -346,7 +346,9 @@
     assert not place.backend.out
 
 
-@pytest.mark.parametrize("word", [BIND, UNBIND, abandon(1) + abandon(2) + abandon(3)], ids=["bind", "unbind", "abandon"])
+@pytest.mark.parametrize(
+    "word", [BIND, UNBIND, abandon(1) + abandon(2) + abandon(3)], ids=["bind", "unbind", "abandon"]
+)
 def test_all_that_one_word_takes_back_is_unwanted_before_the_gateway_hears_of_the_first(place, word, monkeypatch):
     """To leave one request may send the next that waits: none of the others may count as wanted then."""
     far, near = place.client()
--- a/tests/test_crossings_process.py
+++ b/tests/test_crossings_process.py
@@ -23,7 +23,9 @@
     file, later = tmp_path / "config.json", tmp_path / "later.json"
     os.mkfifo(file)
     process = subprocess.Popen(
-        [sys.executable, "-m", "yardbank.platform"], env={**os.environ, "NODE_CONFIG": str(file)}, stderr=subprocess.PIPE
+        [sys.executable, "-m", "yardbank.platform"],
+        env={**os.environ, "NODE_CONFIG": str(file)},
+        stderr=subprocess.PIPE,
     )
     pipe = os.open(file, os.O_WRONLY)  # opens once the program reads
     later.write_bytes(orjson.dumps({**CONFIG, "listen": listen, "discovery": f"127.0.0.1:{discovery}"}))
--- a/tests/test_crossings_program.py
+++ b/tests/test_crossings_program.py
@@ -133,7 +133,9 @@
         return True
 
 
-@pytest.mark.parametrize("stopped", ["", "server last", "server first"], ids=["heard first", "the server last", "the server first"])
+@pytest.mark.parametrize(
+    "stopped", ["", "server last", "server first"], ids=["heard first", "the server last", "the server first"]
+)
 def test_a_client_that_leaves_while_a_connection_opens_has_nothing_sent(fleet, stopped):
     client = fleet.client()
     client.sendall(asked("gone"))
@@ -160,7 +162,9 @@
     assert until(other, row() + READY)
 
 
-@pytest.mark.parametrize("stopped", ["", "server last", "server first"], ids=["heard first", "the server last", "the server first"])
+@pytest.mark.parametrize(
+    "stopped", ["", "server last", "server first"], ids=["heard first", "the server last", "the server first"]
+)
 @pytest.mark.parametrize("turn", ["drains", "gone", "moved"])
 def test_what_waits_for_a_server_that_turns_while_a_connection_to_it_opens_goes_elsewhere(fleet, turn, stopped):
     client = fleet.client()
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,6 +1,5 @@
 """The gateway on a virtual clock: requests, attempts, answers."""
 
-
 from tests.gateway_place import SERVERS, FakeConnection, Place
 from yardbank.gateway import Limits, Reply
 from yardbank.gateway.api import MS, Position
--- a/tests/test_gateway_ways.py
+++ b/tests/test_gateway_ways.py
@@ -22,7 +22,7 @@
     place.backend.mode = "slow"
     place.gateway.ask("c", lambda *told: None)
     place.pass_time(0.03)
-    (server, ready, lost), = place.backend.waiting
+    ((server, ready, lost),) = place.backend.waiting
     place.backend.position = None
     connection = FakeConnection(place.backend, server, lost)
     ready(connection)
@@ -72,7 +72,10 @@
     place = Place()
     far = ServerSpec("far", "g", "b", "h", 3)
     place.gateway.apply_list([SERVERS[0], ServerSpec("near", "g", "c", "h", 2), far])
-    for ways, wanted in (((("b", 300 * MS, 0), ("c", 5 * MS, 0)), "near"), ((("b", 5 * MS, 0), ("c", 300 * MS, 0)), "far")):
+    for ways, wanted in (
+        ((("b", 300 * MS, 0), ("c", 5 * MS, 0)), "near"),
+        ((("b", 5 * MS, 0), ("c", 300 * MS, 0)), "far"),
+    ):
         place.gateway.told_ways(ways)
         place.ask("read")
         assert place.backend.sent[-1][0] == wanted
--- a/tests/test_grants.py
+++ b/tests/test_grants.py
@@ -1,6 +1,5 @@
 """One grant, one holder: wanted, renewed, handed on, lost; starts, stores and epochs."""
 
-
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -25,7 +24,10 @@
     assert bus.holders() == []
     bus.run(4 * SECOND)
     assert bus.holders() == ["b"] and bus.parts["b"].epoch(bus.now, R) > first
-    assert [(turn.what, turn.why) for turn in bus.parts["a"].turns("channel/")] == [("owned", ""), ("ended", "released")]
+    assert [(turn.what, turn.why) for turn in bus.parts["a"].turns("channel/")] == [
+        ("owned", ""),
+        ("ended", "released"),
+    ]
     assert bus.parts["a"].turns("") == []
 
 
--- a/tests/test_grants_fleet.py
+++ b/tests/test_grants_fleet.py
@@ -143,7 +143,10 @@
             fleet.network.end(f"cut{random.randrange(2)}")
         elif what == 3 and name in fleet.circles and name not in fleet.paused:
             fleet.pause(name)
-            fleet.at(fleet.now + int(random.uniform(0.1, 8) * SECOND), lambda name=name: name in fleet.paused and fleet.resume(name))
+            fleet.at(
+                fleet.now + int(random.uniform(0.1, 8) * SECOND),
+                lambda name=name: name in fleet.paused and fleet.resume(name),
+            )
         elif what == 4 and name in fleet.circles:
             fleet.kill(name)
             back = fleet.now + int(random.uniform(0.01, 5) * SECOND)
@@ -213,4 +216,6 @@
     assert len(gone) > 50
     took = fleet.run_until(lambda: not fleet.unheld(resources), 20 * SECOND)
     assert took is not None and took - at <= long_lease(TERMS) + TERMS.term // 8 + 2 * vote_time(TERMS)
-    print(f"started {max(start)} octets at most, {steady:.0f} a second; {len(gone)} lost, held again in {(took - at) / SECOND}")
+    print(
+        f"started {max(start)} octets at most, {steady:.0f} a second; {len(gone)} lost, held again in {(took - at) / SECOND}"
+    )
--- a/tests/test_grants_lists.py
+++ b/tests/test_grants_lists.py
@@ -1,6 +1,5 @@
 """Who votes, what crosses, and lists that change under leases."""
 
-
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -35,7 +35,12 @@
 
 def test_worth_then_turns_then_deadline():
     leases = begun(Limits(connections=1))
-    for key, user, worth, deadline in (("low", "u", 1, 5), ("late", "u", 2, 9), ("soon", "u", 2, 8), ("other", "v", 2, 10)):
+    for key, user, worth, deadline in (
+        ("low", "u", 1, 5),
+        ("late", "u", 2, 9),
+        ("soon", "u", 2, 8),
+        ("other", "v", 2, 10),
+    ):
         assert leases.ask(1, ask(key, 2, user, "d", worth, deadline)) == []
     assert leases.ended(2, 1, "I") == [Give("soon", 1)]  # worth before all; of equals the earlier deadline
     assert leases.ended(2, 1, "I") == [Shut(1)]  # now it is v's turn, and this is u's connection
@@ -103,7 +108,9 @@
 @settings(max_examples=150, deadline=None)
 def test_any_run_of_events_keeps_bounds_and_ends_every_ask(seed):
     chance = random.Random(seed)
-    limits = Limits(connections=chance.randint(1, 4), of_user=chance.randint(1, 4), of_database=chance.randint(1, 4), waiting=8)
+    limits = Limits(
+        connections=chance.randint(1, 4), of_user=chance.randint(1, 4), of_database=chance.randint(1, 4), waiting=8
+    )
     leases, now, asked = Leases(limits), 0, {}
     held, opening, cleaning, shutting = {}, set(), {}, set()
     owner, dirty = {}, {}  # by connection: (user, database); whose session it is unfit for others
@@ -146,7 +153,10 @@
     def step(closing=False):
         nonlocal now
         now += 1
-        what = chance.choices(("ask", "end", "open", "clean", "shut", "lose", "leave"), (0 if closing else 5, 5, 4, 4, 4, 0 if closing else 0.3, 1))[0]
+        what = chance.choices(
+            ("ask", "end", "open", "clean", "shut", "lose", "leave"),
+            (0 if closing else 5, 5, 4, 4, 4, 0 if closing else 0.3, 1),
+        )[0]
         if what == "ask":
             client = chance.randrange(6)
             user, database = f"u{client % 3}", f"d{client % 2}"
--- a/tests/test_list_edits.py
+++ b/tests/test_list_edits.py
@@ -159,7 +159,6 @@
     if not new:
         return
 
-
     changes = {n: (old.get(n), new.get(n)) for n in (*new, *old) if old.get(n) != new.get(n)}
     short = suspicion_of(changes, tuple(new.values()))
     whole = suspicion(tuple(old.values()), tuple(new.values()))
--- a/tests/test_nothing_fitted.py
+++ b/tests/test_nothing_fitted.py
@@ -23,7 +23,16 @@
 SITES = [Path(name) for name in GIVEN.split(":")] if GIVEN else sorted((ROOT / "deploy" / "sites").glob("*.toml"))
 PROGRAM = [*sorted((ROOT / "yardbank").rglob("*.py")), ROOT / "deploy" / "balancer.toml"]
 UNITS = {"MS": 1e6, "SECOND": 1e9}
-TOLD = {"class", "fam", "rules", "allow", "prices", "clients", "goal", "tier"}  # tables that the first message is made of
+TOLD = {
+    "class",
+    "fam",
+    "rules",
+    "allow",
+    "prices",
+    "clients",
+    "goal",
+    "tier",
+}  # tables that the first message is made of
 FIGURE = re.compile(r"(?<![\w.])[0-9][0-9_]*(?:\.[0-9]+)?(?:[eE][+-]?[0-9]+)?(?![\w.])")
 
 
@@ -63,7 +72,9 @@
         elif isinstance(told, int | float) and not isinstance(told, bool):
             stated = where[0] in TOLD and not range_end
             if distinctive(told, 2 if stated else 3):
-                unit = next((unit for end, unit in (("_ms", 1e-3), ("_us", 1e-6), ("_s", 1.0)) if key.endswith(end)), None)
+                unit = next(
+                    (unit for end, unit in (("_ms", 1e-3), ("_us", 1e-6), ("_s", 1.0)) if key.endswith(end)), None
+                )
                 for value in {told} if unit is None else {told * unit * scale for scale in (1, 1e3, 1e6, 1e9)}:
                     if distinctive(told, 3) or (unit is not None and value == told * unit * 1e9):
                         found.setdefault(f"{value:.9g}", ".".join(where))
@@ -99,7 +110,9 @@
 def words_in(path, text):
     """Strings and identifiers with their lines."""
     if path.suffix != ".py":
-        return [(number, word) for number, line in enumerate(text.splitlines(), 1) for word in re.findall(r"[\w-]+", line)]
+        return [
+            (number, word) for number, line in enumerate(text.splitlines(), 1) for word in re.findall(r"[\w-]+", line)
+        ]
     fields = ("id", "attr", "arg", "name")
     return [
         (node.lineno, word)
@@ -168,6 +181,9 @@
         if wanted is None:
             assert found == [], line
         else:
-            assert found and all(one.startswith(f"router.py:{last}: ") and wanted in one for one in found), (line, found)
+            assert found and all(one.startswith(f"router.py:{last}: ") and wanted in one for one in found), (
+                line,
+                found,
+            )
     planted = f'run = "exec python -m yardbank.platform --class {told["class"][0]["name"]}"'
     assert fitted(ROOT / "deploy" / "balancer.toml", planted, told) != []
--- a/tests/test_passed.py
+++ b/tests/test_passed.py
@@ -23,7 +23,9 @@
     place.ask("write")
     place.backend.to("p").answer(Reply("ok", "done", Role.PRIMARY, ("", (5,))))
     place.applied = applied
-    place.backend.position = lambda server: Position({"": (5,)}, True) if server.primary else Position({"": (place.applied,)}, False)
+    place.backend.position = lambda server: (
+        Position({"": (5,)}, True) if server.primary else Position({"": (place.applied,)}, False)
+    )
     place.told = []
     handle = place.gateway._router.handle
     place.gateway._router.handle = lambda now, event: place.told.append(event) or handle(now, event)
@@ -95,7 +97,19 @@
     assert not word(place, server="x") and not word(place, start=START + 1) and not word(place, 5, 0, "p")
     assert place.gateway._passed._words == {}
     word(place), word(place, 4)
-    for marks in ({}, {"": ()}, {"": [5]}, {"": (5.0,)}, {"": (True,)}, {1: (5,)}, [("", (5,))], None, {"": ("five",)}, {"": (1 << 70, "x" * 99)}, {str(n): (1,) for n in range(99)}):
+    for marks in (
+        {},
+        {"": ()},
+        {"": [5]},
+        {"": (5.0,)},
+        {"": (True,)},
+        {1: (5,)},
+        [("", (5,))],
+        None,
+        {"": ("five",)},
+        {"": (1 << 70, "x" * 99)},
+        {str(n): (1,) for n in range(99)},
+    ):
         assert place.gateway.told_position("c", START, marks) is False
     assert not marked(place)
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -74,7 +74,9 @@
 def test_no_octets_break_it(data):
     circle = Circle("g0", FLEET, [KEY], 1, Random(1))
     circle.listed(SECOND, ["g0", "g1"])
-    signed = wire.MAGIC + bytes((wire.VERSION,)) + wire._digest(KEY, wire.VERSION, data) + data  # by one who has the key
+    signed = (
+        wire.MAGIC + bytes((wire.VERSION,)) + wire._digest(KEY, wire.VERSION, data) + data
+    )  # by one who has the key
     for octets in (data, signed):
         assert circle.receive(SECOND, octets) == []
     assert sum(circle.dropped.values()) == 2
@@ -102,7 +104,10 @@
         with pytest.raises(Dropped, match=reason):
             decode(spoilt, [KEY], FLEET)
     with pytest.raises(ValueError, match="1200 allowed"):
-        encode(Datagram(FLEET, "g1", 1, 1, 1, wire.PING, news=tuple(News("x" * 20, 1, 1, "y" * 20) for _ in range(40))), [KEY])
+        encode(
+            Datagram(FLEET, "g1", 1, 1, 1, wire.PING, news=tuple(News("x" * 20, 1, 1, "y" * 20) for _ in range(40))),
+            [KEY],
+        )
 
 
 def test_the_longest_names_there_can_be_fit_a_datagram():
@@ -128,7 +133,11 @@
 
 def test_keys_are_read_by_line():
     assert read_keys("# new\n" + "ab" * 16 + "\n\n" + "cd" * 32 + "\n") == [b"\xab" * 16, b"\xcd" * 32]
-    for text, fault in (("ab", "1: a key has 16 to 64 octets, this one 1"), ("\nxyz", "2: not hexadecimal"), ("", "1: one")):
+    for text, fault in (
+        ("ab", "1: a key has 16 to 64 octets, this one 1"),
+        ("\nxyz", "2: not hexadecimal"),
+        ("", "1: one"),
+    ):
         with pytest.raises(ValueError, match=fault):
             read_keys(text)
 
@@ -163,7 +172,9 @@
     circles = fleet(seed=seed)
     circles.kill("g3")
     assert circles.run_until(circles.agreed, 60 * SECOND)
-    assert {(who, whom) for _, who, whom in circles.told(GONE)} == {(name, "g3") for name in circles.names if name != "g3"}
+    assert {(who, whom) for _, who, whom in circles.told(GONE)} == {
+        (name, "g3") for name in circles.names if name != "g3"
+    }
     circles.start("g3")
     assert circles.run_until(circles.agreed, 60 * SECOND)
 
@@ -211,7 +222,9 @@
              if circles.network.effect(a, b) == Effect() and a != b}  # fmt: skip
 
     def sides_agree():
-        return all(circles.believes(a, b) == (ALIVE if (a, b) in reach else GONE) for a in NAMES for b in NAMES if a != b)
+        return all(
+            circles.believes(a, b) == (ALIVE if (a, b) in reach else GONE) for a in NAMES for b in NAMES if a != b
+        )
 
     assert circles.run_until(sides_agree, 120 * SECOND)
     circles.run(circles.now + 60 * SECOND)
@@ -408,7 +421,9 @@
     for number, name in enumerate(NAMES):
         circles.circles[name].register.set({"out:a-1": number + 1, "asked:lookup": 10})
     circles.run(circles.now + 30 * SECOND)
-    circles.circles["g0"].detector.told(circles.now, "g1", [News("g0", SUSPECT, circles.circles["g0"].detector.incarnation, "g1")])
+    circles.circles["g0"].detector.told(
+        circles.now, "g1", [News("g0", SUSPECT, circles.circles["g0"].detector.incarnation, "g1")]
+    )
     circles.run(circles.now + 10 * SECOND)
     for name in NAMES:
         totals = circles.circles[name].totals(circles.own(name))
--- a/tests/test_peers_process.py
+++ b/tests/test_peers_process.py
@@ -150,7 +150,7 @@
     listed = len(two[0].events("peers_listed"))
     (two[0].folder / "peers.hcl").write_text('peer "g2" {\n  address = "127.0.0.1"\n  port = 0\n}\n')
     wait_for(lambda: two[0].events("peers_rejected"))
-    assert "peers.hcl:3: peer \"g2\": port" in two[0].events("peers_rejected")[0]["fault"]
+    assert 'peers.hcl:3: peer "g2": port' in two[0].events("peers_rejected")[0]["fault"]
     assert len(two[0].events("peers_listed")) == listed
     two[1].kill()
     wait_for(lambda: states(two[0])["g2"] == "gone")  # still watched by the list of before
@@ -193,7 +193,9 @@
     made = Process(tmp_path / "g1")
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
         taken.bind(("127.0.0.1", 0))
-        text = made.file.read_text().replace('fleet = "rig"\n  port = 0', f'fleet = "rig"\n  port = {taken.getsockname()[1]}')
+        text = made.file.read_text().replace(
+            'fleet = "rig"\n  port = 0', f'fleet = "rig"\n  port = {taken.getsockname()[1]}'
+        )
         made.file.write_text(text)
         done = subprocess.run([sys.executable, "-m", "yardbank", "serve", str(made.file)], capture_output=True, text=True,
                               check=False)  # fmt: skip
--- a/tests/test_pg.py
+++ b/tests/test_pg.py
@@ -43,7 +43,10 @@
         assert found.kind is Kind.WRITE and Taint.UNKNOWN in found.taints
 
 
-@given(st.sampled_from([text for text, kind, _ in CORPUS if kind is Kind.WRITE]), st.sampled_from([text for text, kind, _ in CORPUS if kind is Kind.READ]))
+@given(
+    st.sampled_from([text for text, kind, _ in CORPUS if kind is Kind.WRITE]),
+    st.sampled_from([text for text, kind, _ in CORPUS if kind is Kind.READ]),
+)
 @settings(max_examples=200, deadline=None)
 def test_a_write_beside_a_read_is_never_a_read(write, read):
     for text in (f"{read}\n; {write}", f"{write}\n; {read}"):
@@ -52,7 +55,10 @@
 
 def test_an_operators_functions_and_the_cache():
     made = Classifier(("app.route_of",), most=2)
-    assert made.of("select app.route_of('x')").kind is Kind.READ and Classifier().of("select app.route_of('x')").kind is Kind.WRITE
+    assert (
+        made.of("select app.route_of('x')").kind is Kind.READ
+        and Classifier().of("select app.route_of('x')").kind is Kind.WRITE
+    )
     made.of("select app.route_of('x')")
     assert (made.hits, made.misses) == (1, 1)
     made.of("select 1")
@@ -95,7 +101,12 @@
 
 
 def test_lengths_are_checked_before_anything_is_kept_for_them():
-    for octets, most in ((b"Q" + int32(2000), 100), (b"Q" + int32(3), 100), (b"Q" + int32(-5), 100), (b"\x01" + int32(4), 100)):
+    for octets, most in (
+        (b"Q" + int32(2000), 100),
+        (b"Q" + int32(3), 100),
+        (b"Q" + int32(-5), 100),
+        (b"\x01" + int32(4), 100),
+    ):
         with pytest.raises(WireError):
             list(Framer(most).feed(octets))
     with pytest.raises(WireError, match="message length"):
@@ -110,7 +121,12 @@
     assert pg.decode_first(Frame(0, int32(SSL_REQUEST))) == pg.EncryptionRequest(SSL_REQUEST)
     cancel = pg.CancelRequest(7, b"k" * 32)  # protocol 3.2: keys may be long
     assert pg.decode_first(pg.encode_client(cancel)) == cancel
-    for body, reason in ((int32(2 << 16), "version 2.0"), (int32(VERSION_3_0) + b"user\0", "parameter 'user'"), (int32(SSL_REQUEST) + b"x", "after its end"), (int32(80877102) + b"\0\0\0\1ab", "key of 2")):
+    for body, reason in (
+        (int32(2 << 16), "version 2.0"),
+        (int32(VERSION_3_0) + b"user\0", "parameter 'user'"),
+        (int32(SSL_REQUEST) + b"x", "after its end"),
+        (int32(80877102) + b"\0\0\0\1ab", "key of 2"),
+    ):
         with pytest.raises(WireError, match=reason):
             pg.decode_first(Frame(0, body))
 
@@ -123,6 +139,11 @@
     assert pg.read_parameter(Frame(ord("S"), b"TimeZone\0UTC\0")) == ("TimeZone", "UTC")
     row = (b"1", None, b"")
     assert pg.read_row(pg.write_row(row)) == row
-    for read, body in ((pg.read_ready, b"X"), (pg.read_fault, b"Mtext"), (pg.read_row, b"\0\5"), (pg.read_parameter, b"a\0b\0c")):
+    for read, body in (
+        (pg.read_ready, b"X"),
+        (pg.read_fault, b"Mtext"),
+        (pg.read_row, b"\0\5"),
+        (pg.read_parameter, b"a\0b\0c"),
+    ):
         with pytest.raises(WireError):
             read(Frame(0x5A, body))
--- a/tests/test_pg_positions.py
+++ b/tests/test_pg_positions.py
@@ -23,7 +23,15 @@
 
 @pytest.mark.parametrize(
     "row",
-    [(b"t", None, b"1"), (b"t", b"0/1"), (b"x", b"0/1", b"1"), (b"t", b"0/1", b"0"), (b"t", b"0/1", b"-1"), (b"t", b"\xff", b"1"), ()],
+    [
+        (b"t", None, b"1"),
+        (b"t", b"0/1"),
+        (b"x", b"0/1", b"1"),
+        (b"t", b"0/1", b"0"),
+        (b"t", b"0/1", b"-1"),
+        (b"t", b"\xff", b"1"),
+        (),
+    ],
 )
 def test_a_probe_that_makes_no_sense_tells_nothing(row):
     assert of_probe(row) is None
--- a/tests/test_pg_state.py
+++ b/tests/test_pg_state.py
@@ -98,7 +98,9 @@
     parts = (pg.Parse("", "select 1"), pg.Bind("", ""), pg.Execute(""), pg.SYNC)
     octets = b"".join(pg.encode_client(part).encode() for part in parts)
     assert server.receive(octets) == [state.Pipeline(parts, False)]
-    assert server.receive(pg.encode_client(pg.Query("select 2")).encode()) == [state.Pipeline((pg.Query("select 2"),), True)]
+    assert server.receive(pg.encode_client(pg.Query("select 2")).encode()) == [
+        state.Pipeline((pg.Query("select 2"),), True)
+    ]
     late = pg.encode_client(pg.Data(ord("d"), b"row")).encode()
     assert server.receive(late) == []  # no copy is under way: dropped
     server.copying = True
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -24,6 +24,7 @@
 
 def far_apart(chance):
     """A problem whose numbers are of very different scale, many of them just feasible or just not."""
+
     def scale(low, high):
         return float(f"{10 ** chance.uniform(low, high):.{chance.choice((1, 3, 6))}g}")
 
@@ -35,7 +36,9 @@
     demands = [Demand("read", "g", zone, scale(-3, 4)) for zone in "abc" if chance.random() < 0.8]
     limits = Limits(spill={zone: chance.choice((0.0, 1.0, round(chance.random(), 4))) for zone in "ab"})
     if demands and chance.random() < 0.4:  # exactly what there is, or the least bit more
-        room = sum((max(Fraction(0), written(s.capacity) * written(s.warmth) - written(s.taken)) for s in servers), Fraction(0))
+        room = sum(
+            (max(Fraction(0), written(s.capacity) * written(s.warmth) - written(s.taken)) for s in servers), Fraction(0)
+        )
         rest = room - sum((written(d.rate) for d in demands[1:]), Fraction(0))
         exactly = float(rest)
         if rest > 0 and written(exactly) == rest:
@@ -80,17 +83,27 @@
     servers = (PlanServer("big", "g", "a", 1e6), PlanServer("none", "g", "b", 0.0))
     problem = Problem(servers, (Demand("read", "g", "b", 0.001),), Limits(spill={"b": 0.0}))
     (conflict,) = solve(problem).conflicts
-    assert set(conflict.limits) == {"demand of read in b: 0.001/s", "capacity of none: 0/s", "spill out of b: at most 0% of 0.001/s"}
+    assert set(conflict.limits) == {
+        "demand of read in b: 0.001/s",
+        "capacity of none: 0/s",
+        "spill out of b: at most 0% of 0.001/s",
+    }
     assert conflict.unserved == pytest.approx(0.001)
 
 
 def holds_alone(problem, conflict, without=""):
     """Whether a conflict's limits, less one, can hold together; the others are lifted."""
     words = [limit for limit in conflict.limits if limit != without]
-    named = {server.name for server in problem.servers if any(w.startswith(f"capacity of {server.name}:") for w in words)}
+    named = {
+        server.name for server in problem.servers if any(w.startswith(f"capacity of {server.name}:") for w in words)
+    }
     servers = tuple(s if s.name in named else replace(s, capacity=1e11, warmth=1.0, taken=0.0) for s in problem.servers)
     demands = tuple(d for d in problem.demands if any(w.startswith(f"demand of {d.kind} in {d.zone}:") for w in words))
-    spill = {zone: share for zone, share in problem.limits.spill.items() if any(w.startswith(f"spill out of {zone}:") for w in words)}
+    spill = {
+        zone: share
+        for zone, share in problem.limits.spill.items()
+        if any(w.startswith(f"spill out of {zone}:") for w in words)
+    }
     return exact(Problem(servers, demands, Limits(spill=spill))) is not None
 
 
--- a/tests/test_plan_use.py
+++ b/tests/test_plan_use.py
@@ -31,7 +31,14 @@
 
 
 def spec(number, **more):
-    base = {"name": f"s{number}", "group": "g", "zone": "ab"[number % 2], "host": "h", "port": number, "primary": number == 0}
+    base = {
+        "name": f"s{number}",
+        "group": "g",
+        "zone": "ab"[number % 2],
+        "host": "h",
+        "port": number,
+        "primary": number == 0,
+    }
     return ServerSpec(**(base | more))
 
 
@@ -39,7 +46,13 @@
 
 
 def plan(**more):
-    base = {"zone": "a", "list_hash": list_hash(SERVERS), "made": NOW - 10, "fade": 100.0, "weights": {"s1": 2.0, "s2": 0.5}}
+    base = {
+        "zone": "a",
+        "list_hash": list_hash(SERVERS),
+        "made": NOW - 10,
+        "fade": 100.0,
+        "weights": {"s1": 2.0, "s2": 0.5},
+    }
     return MadePlan(**(base | more))
 
 
@@ -158,13 +171,19 @@
     chance = random.Random(3)
     for _ in range(100):
         servers = tuple(spec(n, started=NOW - chance.uniform(0, 30)) for n in range(chance.randint(1, 20)))
-        made = plan(list_hash=list_hash(servers), made=NOW - chance.uniform(0, 250), weights={f"s{n}": chance.uniform(0, 9) for n in range(10)})
+        made = plan(
+            list_hash=list_hash(servers),
+            made=NOW - chance.uniform(0, 250),
+            weights={f"s{n}": chance.uniform(0, 9) for n in range(10)},
+        )
         place = Place(chance.randrange(5), 5, chance.choice((0, 6)), 1)
         one, two = (view(servers, (made,), "a", NOW, place, Warming(18, 0.3)) for _ in range(2))
         assert one == two and all(s.weight > 0 for s in one.servers) and (one.next_at is None or one.next_at > NOW)
 
 
-LISTED = tuple(ServerSpec(f"n{n}", "numbers", "norte" if n < 2 else "sur", "127.0.0.1", n + 1, n == 0) for n in range(3))
+LISTED = tuple(
+    ServerSpec(f"n{n}", "numbers", "norte" if n < 2 else "sur", "127.0.0.1", n + 1, n == 0) for n in range(3)
+)
 
 
 def plan_file(servers=LISTED, made=NOW, extra="", **weights):
@@ -237,7 +256,10 @@
             for group, members in place.members.items()
             for name, zone in members
         ]
-        rows = [f'server "{s.name}" {{\n group = "{s.group}"\n zone = "{s.zone}"\n capacity = {10 * n + 10}\n}}\n' for n, s in enumerate(specs)]
+        rows = [
+            f'server "{s.name}" {{\n group = "{s.group}"\n zone = "{s.zone}"\n capacity = {10 * n + 10}\n}}\n'
+            for n, s in enumerate(specs)
+        ]
         rows += [f'demand "read" {{\n group = "{group}"\n zone = "norte"\n rate = 20\n}}\n' for group in place.groups]
         (tmp_path / "model.hcl").write_text("".join(rows))
         (folder / "servers.hcl").write_text(render(specs))
@@ -266,7 +288,9 @@
     out = tmp_path / "made.hcl"
     assert call("solve", model, "--zone", "norte", "--out", out, "--fade", "2h").exit_code == 0
     (made,) = read_plans({"made.hcl": out.read_bytes()})
-    assert made.list_hash == list_hash(LISTED) and made.fade == 7200.0 and made.switchover == {"numbers": "n1"}  # of the primary's kind
+    assert (
+        made.list_hash == list_hash(LISTED) and made.fade == 7200.0 and made.switchover == {"numbers": "n1"}
+    )  # of the primary's kind
     folder = tmp_path / "list.d"
     folder.mkdir()
     settings_file = tmp_path / "gateway.hcl"
--- a/tests/test_platform_admission.py
+++ b/tests/test_platform_admission.py
@@ -1,6 +1,5 @@
 """Which client connections are kept, which give way, and how descriptors are shared."""
 
-
 from hypothesis import given
 from hypothesis import strategies as st
 
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -1,7 +1,5 @@
 """Clients, admission and the gateway together."""
 
-
-
 from tests.platform_kit import READ, READY, WRITE, World, query
 from yardbank.gateway import Reply
 from yardbank.pg import messages as pg
--- a/tests/test_platform_discovery.py
+++ b/tests/test_platform_discovery.py
@@ -20,11 +20,20 @@
 
 @given(st.data())
 def test_a_watch_is_read_in_any_split_and_lists_may_be_indented(data):
-    body = chunk(b"\n") + chunk(LINE[:20]) + chunk(LINE[20:] + LINE) + chunk(INDENTED[:-3]) + chunk(INDENTED[-3:] + INDENTED)
+    body = (
+        chunk(b"\n")
+        + chunk(LINE[:20])
+        + chunk(LINE[20:] + LINE)
+        + chunk(INDENTED[:-3])
+        + chunk(INDENTED[-3:] + INDENTED)
+    )
     stream = HEAD + body + b"0\r\n\r\n"
     cuts = sorted(data.draw(st.lists(st.integers(0, len(stream)), max_size=12)))
     watch = Watch("h:1", 41)
-    assert lists(watch, *(stream[a:b] for a, b in zip([0, *cuts], [*cuts, len(stream)]) if b > a)) == [43] * 4 and watch.done
+    assert (
+        lists(watch, *(stream[a:b] for a, b in zip([0, *cuts], [*cuts, len(stream)]) if b > a)) == [43] * 4
+        and watch.done
+    )
     watch = Watch("h:1", 41)
     assert lists(watch, *(stream[at : at + 1] for at in range(len(stream)))) == [43] * 4 and watch.done
     assert watch.request.startswith(b"GET /discovery/hosts?stream=1&index=41 HTTP/1.1\r\nHost: h:1\r\n")
--- a/tests/test_platform_sessions.py
+++ b/tests/test_platform_sessions.py
@@ -1,6 +1,5 @@
 """Both ends of connections as state machines without I/O."""
 
-
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -83,7 +82,8 @@
 
 
 @pytest.mark.parametrize(
-    ("state", "status"), [("25006", "miss"), ("72000", "miss"), ("53300", "full"), ("XX000", "error"), ("08P01", "error")]
+    ("state", "status"),
+    [("25006", "miss"), ("72000", "miss"), ("53300", "full"), ("XX000", "error"), ("08P01", "error")],
 )
 def test_errors_by_their_code(state, status):
     session = opened()
--- a/tests/test_platform_statements.py
+++ b/tests/test_platform_statements.py
@@ -77,7 +77,10 @@
 def test_a_class_is_named_as_in_the_settings_or_told_to_be_out_of_reach(name):
     kind = replace(LOOKUP, name=name)
     kinds = {**KINDS, name: kind}
-    forms = READ.replace("c=lookup", f"c={name}"), READ.replace("c=lookup,", "").replace("cluster=2", f"cluster=2,c={name}")
+    forms = (
+        READ.replace("c=lookup", f"c={name}"),
+        READ.replace("c=lookup,", "").replace("cluster=2", f"cluster=2,c={name}"),
+    )
     if out_of_reach([kind]):
         assert any(mark in name for mark in (",", "*/")) or len(name) > 128 or name[-1] == " " or not name.isprintable()
         return
--- a/tests/test_platform_told.py
+++ b/tests/test_platform_told.py
@@ -1,6 +1,5 @@
 """What the platform tells a gateway: lists of servers and the configuration."""
 
-
 import orjson
 import pytest
 
@@ -73,7 +72,14 @@
                         ({"instances": [ENTRY] * (MAX_ENTRIES + 1)}, "more than")):  # fmt: skip
         with pytest.raises(ListingError, match=name):
             parse_listing(orjson.dumps(wrong))
-    for noise in (b"{", b"", b"nonsense", b'{"instances":[]}x', b'{"instances":["\xff"]}', b'{"instances":[{"instanceId":"\xff"}]}'):
+    for noise in (
+        b"{",
+        b"",
+        b"nonsense",
+        b'{"instances":[]}x',
+        b'{"instances":["\xff"]}',
+        b'{"instances":[{"instanceId":"\xff"}]}',
+    ):
         with pytest.raises(ListingError):
             parse_listing(noise)
 
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -1,6 +1,5 @@
 """The watch of discovery's list: octets to lists, silence of all kinds, and when it is begun anew."""
 
-
 import orjson
 import pytest
 from twisted.internet.error import ConnectionRefusedError
--- a/tests/test_platform_ways.py
+++ b/tests/test_platform_ways.py
@@ -164,7 +164,10 @@
 
 
 def test_a_connection_that_ends_before_it_is_open_broke_unless_the_server_said_why():
-    for told, reason in ((b"", BROKE_OPENING), (pg.error("53300", "too many").encode(), "the server refused: 53300 too many")):
+    for told, reason in (
+        (b"", BROKE_OPENING),
+        (pg.error("53300", "too many").encode(), "the server refused: 53300 too many"),
+    ):
         lost = []
         connection = ServerConnection(lambda: 0, lambda _: None, lost.append)
         transport = StringTransport()
--- a/tests/test_policy_health.py
+++ b/tests/test_policy_health.py
@@ -218,10 +218,13 @@
 
 def test_a_copy_that_has_just_started_is_asked_though_its_lag_is_taken_to_be_long():
     """It was taken to lack all that its warmth lasts, and asked only once that guess had faded: reads kept off it."""
+
     def started(**more):
         world = World(reports="probe", **more)
         world.known(1, primary=True)
-        back = [Member(m.server, m.zone, m.group, m.primary, m.state, world.now if m.server == 2 else 0) for m in group(1)]
+        back = [
+            Member(m.server, m.zone, m.group, m.primary, m.state, world.now if m.server == 2 else 0) for m in group(1)
+        ]
         world.feed(ServerList("full", tuple(back)))
         world.ask("read", "lookup", after=200 * MS)
         return world
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -36,7 +36,9 @@
         who, line = chance.randrange(clients), chance.randrange(connections)
         client, mine = people[who], prepared[who]
         connection, server = lines[line]
-        match chance.choices(("parse", "close", "run", "restart", "error", "alter", "discard"), (6, 1, 12, 0.4, 1, 0.5, 0.2))[0]:
+        match chance.choices(
+            ("parse", "close", "run", "restart", "error", "alter", "discard"), (6, 1, 12, 0.4, 1, 0.5, 0.2)
+        )[0]:
             case "parse":
                 name, text = chance.choice(("", "s", "t")), f"select {chance.randrange(20)}"
                 if name and name in mine:
--- a/tests/test_recorded.py
+++ b/tests/test_recorded.py
@@ -38,7 +38,9 @@
     for now, plain, _ in batches:
         event = value(plain)
         if isinstance(event, api.ServerList) and member:
-            changed = (api.Member(m.server, m.zone, m.group, m.primary, m.state, m.started, **member) for m in event.members)
+            changed = (
+                api.Member(m.server, m.zone, m.group, m.primary, m.state, m.started, **member) for m in event.members
+            )
             event = api.ServerList(event.kind, tuple(changed))
         yield [repr(action) for action in router.handle(now, event)]
         for one in more:
@@ -48,7 +50,12 @@
 def test_with_share_one_every_recorded_action_is_the_same():
     wanted = [actions for _, _, actions in RECORD["batches"]]
     assert len(wanted) > 800 and sum(map(bool, wanted)) > 400
-    assert {action.partition("(")[0] for actions in wanted for action in actions} >= {"Send", "Refuse", "Probe", "SetTimer"}
+    assert {action.partition("(")[0] for actions in wanted for action in actions} >= {
+        "Send",
+        "Refuse",
+        "Probe",
+        "SetTimer",
+    }
     assert list(replay()) == wanted
     assert list(replay(share=0.25)) == wanted  # equal shares are no shares
 
--- a/tests/test_rig_claims.py
+++ b/tests/test_rig_claims.py
@@ -101,6 +101,9 @@
     assert not both.held and "g2 lookup, g2 status, g2 commit" in both.seen
     assert not serves_again(facts, "never", ["g1"]).held
     assert serves_again([*facts, process(5, "kill", "g2")], "x", ["g1", "g2"]).held
-    ends = [process(6, "ended", meant=True, code=0, signal=None), process(7, "ended", "g2", meant=False, code=3, signal=0)]
+    ends = [
+        process(6, "ended", meant=True, code=0, signal=None),
+        process(7, "ended", "g2", meant=False, code=3, signal=0),
+    ]
     assert alive(ends, ["g1"]).held and not alive(ends, ["g1", "g2"]).held and not alive([], ["g1"]).held
     assert alive(ends, ["g1", "g2"]).fact is ends[1]
--- a/tests/test_rig_fleet.py
+++ b/tests/test_rig_fleet.py
@@ -16,7 +16,9 @@
 GROUP = 'group "numbers" {\n  suffix = "ou=numbers,dc=porting"\n}\n'
 BELIEF = 'claim "belief" {\n  kind = "belief"\n}\n'
 VIEWS = 'fleet {\n  gateways = 3\n  peers = true\n  settle = "8s"\n}\nclaim "views" {\n  kind = "views"\n}\n'
-SMALL = 'title = "small"\nfleet {\n  gateways = 2\n}\nload {\n  rate = 120\n  length = "3s"\n  clients = 8\n%s}\n' + GROUP
+SMALL = (
+    'title = "small"\nfleet {\n  gateways = 2\n}\nload {\n  rate = 120\n  length = "3s"\n  clients = 8\n%s}\n' + GROUP
+)
 CLAIMS = 'claim "rules" {\n  kind = "rules"\n}\nclaim "alive" {\n  kind = "alive"\n}\n'
 
 
--- a/tests/test_rig_moments.py
+++ b/tests/test_rig_moments.py
@@ -10,9 +10,11 @@
 from yardbank.rig.scenario import load_scenario, shipped
 
 EVERY = "YARDBANK_EVERY_SCENARIO" in os.environ
-FEWER = {"moments-drain": {'"8s"': '"3800ms"'},  # nothing is told or drained later than that
-         "moments-leavers": {'"9s"': '"6s"'},
-         "moments-cold": {'"12s"': '"8s"', "multiple = 1.0": "multiple = 0.5"}}  # and a bound so much closer
+FEWER = {
+    "moments-drain": {'"8s"': '"3800ms"'},  # nothing is told or drained later than that
+    "moments-leavers": {'"9s"': '"6s"'},
+    "moments-cold": {'"12s"': '"8s"', "multiple = 1.0": "multiple = 0.5"},
+}  # and a bound so much closer
 
 
 def small(name, folder):
@@ -20,7 +22,12 @@
     text = shipped()[name].read_text()
     assert "gateways = 20" in text
     file = folder / f"{name}.hcl"
-    for all_, few in {"gateways = 20": "gateways = 5", ', "g1?"': "", "rate    = 300": "rate    = 200", **FEWER[name]}.items():
+    for all_, few in {
+        "gateways = 20": "gateways = 5",
+        ', "g1?"': "",
+        "rate    = 300": "rate    = 200",
+        **FEWER[name],
+    }.items():
         text = text.replace(all_, few)
     file.write_text(text)
     return file
--- a/tests/test_rig_together.py
+++ b/tests/test_rig_together.py
@@ -24,7 +24,9 @@
 
 
 def item(at, owner, epoch, sequence, channel="c", sender=None):
-    return fact(at, "item", channel=channel, epoch=epoch, sequence=sequence, owner=owner, sender=sender or owner, to="f")
+    return fact(
+        at, "item", channel=channel, epoch=epoch, sequence=sequence, owner=owner, sender=sender or owner, to="f"
+    )
 
 
 def reign(owner, epoch, since, until):
--- a/tests/test_rollout_fleet.py
+++ b/tests/test_rollout_fleet.py
@@ -48,9 +48,17 @@
 
 WORSE = {
     "in one class": (Kind(late=0.12), lambda name, second: True, {}),
-    "in one zone": (Kind(failed=0.25), lambda name, second: name in ("g000", "g002", "g004", "g006"), {"stages": (0.5, 1.0)}),
+    "in one zone": (
+        Kind(failed=0.25),
+        lambda name, second: name in ("g000", "g002", "g004", "g006"),
+        {"stages": (0.5, 1.0)},
+    ),
     "under load": (Kind(rate=120, refused=0.1), lambda name, second: second > 70, {"hold": 120 * SECOND}),
-    "at the tail": (Kind(rate=120, p99=900), lambda name, second: True, {"worse": ("served", "p99"), "hold": 120 * SECOND}),
+    "at the tail": (
+        Kind(rate=120, p99=900),
+        lambda name, second: True,
+        {"worse": ("served", "p99"), "hold": 120 * SECOND},
+    ),
 }
 
 
@@ -231,7 +239,9 @@
     for name in list(world.zones):  # all start anew, and are asked for the same again
         world.end(name)
     world.run(90)
-    assert not world.on_new() and not [one for one in world.said("going_over") if one[0] > world.circles.now / SECOND - 80]
+    assert not world.on_new() and not [
+        one for one in world.said("going_over") if one[0] > world.circles.now / SECOND - 80
+    ]
     lost = world.processes["g000"]
     lost.disk, lost.lease_disk = Disk(), Disk()  # its memory is gone: the others tell it
     world.end("g000")
--- a/tests/test_rollout_landed.py
+++ b/tests/test_rollout_landed.py
@@ -17,7 +17,7 @@
 LANDED = "9d7b4df"  # the last commit whose gateways know nothing of letters
 ROOT = Path(__file__).parent.parent
 
-GATEWAY = '''
+GATEWAY = """
 import json, sys, time
 from pathlib import Path
 from random import Random
@@ -53,7 +53,7 @@
     reactor.callLater(1, lambda: (part.asked(time.monotonic_ns(), change, "new"), peers.prompt()))
 peers.start()
 reactor.run()
-'''
+"""
 
 
 def landed(folder):
--- a/tests/test_rollout_process.py
+++ b/tests/test_rollout_process.py
@@ -25,7 +25,9 @@
 def test_gateways_go_over_under_their_supervisors_and_back_when_two_say_stop(tmp_path):
     with world(start=False) as place:
         ports = {name: run(free_port) for name in NAMES}
-        peers = "".join(f'peer "{name}" {{\n address = "127.0.0.1"\n port = {port}\n}}\n' for name, port in ports.items())
+        peers = "".join(
+            f'peer "{name}" {{\n address = "127.0.0.1"\n port = {port}\n}}\n' for name, port in ports.items()
+        )
         running = {}
 
         def put(name, file, text):
@@ -58,7 +60,14 @@
         try:
             for name in NAMES:
                 with (tmp_path / name / "log").open("wb") as out:
-                    command = [sys.executable, "-m", "yardbank", "serve", str(tmp_path / name / "g.hcl"), "--supervised"]
+                    command = [
+                        sys.executable,
+                        "-m",
+                        "yardbank",
+                        "serve",
+                        str(tmp_path / name / "g.hcl"),
+                        "--supervised",
+                    ]
                     running[name] = subprocess.Popen(command, stderr=out)
             for name in NAMES:
                 put(name, "rollout.hcl", ROLLOUT)
--- a/tests/test_settings_drawn.py
+++ b/tests/test_settings_drawn.py
@@ -140,10 +140,10 @@
         monkeypatch.setattr(Router, "order", lambda self: sorted(order(self)))
     elif what == "servers":  # the list is gone through by name
         take = Play.__init__.__globals__["specs"]
-        monkeypatch.setitem(Play.__init__.__globals__, "specs", lambda listing: sorted(take(listing), key=lambda s: s.name))
-    else:
-        monkeypatch.setattr(
-            Router, "cost", lambda self, server, primary: (server.zone > "M") + self.random.random()
+        monkeypatch.setitem(
+            Play.__init__.__globals__, "specs", lambda listing: sorted(take(listing), key=lambda s: s.name)
         )
+    else:
+        monkeypatch.setattr(Router, "cost", lambda self, server, primary: (server.zone > "M") + self.random.random())
     with pytest.raises(AssertionError):
         search(phases=(Phase.generate,))
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -38,7 +38,11 @@
     assert tree.matched("ou=none,c=ec") == "c=ec" and tree.matched("dc=none") == ""
     assert not tree.reach("dc=none", Scope.SUBTREE).known and tree.reach("dc=none", Scope.SUBTREE).matched == ""
     assert tree.divided("dc=porting") and not tree.divided("ou=a,ou=b,dc=porting")
-    assert glue_attributes("ou=A+cn=b,c=ec") == (("objectClass", (b"top", b"organizationalUnit")), ("ou", (b"A",)), ("cn", (b"b",)))
+    assert glue_attributes("ou=A+cn=b,c=ec") == (
+        ("objectClass", (b"top", b"organizationalUnit")),
+        ("ou", (b"A",)),
+        ("cn", (b"b",)),
+    )
     assert glue_attributes("x=1")[0] == ("objectClass", (b"top", b"extensibleObject"))
     with pytest.raises(ValueError, match="at_once"):
         Budget(0)
@@ -74,7 +78,11 @@
     return one
 
 
-@given(st.sets(st.sampled_from(NAMES), min_size=1), st.sampled_from([*NAMES, "cn=1,ou=a,dc=x"]), st.sampled_from(list(Scope)))
+@given(
+    st.sets(st.sampled_from(NAMES), min_size=1),
+    st.sampled_from([*NAMES, "cn=1,ou=a,dc=x"]),
+    st.sampled_from(list(Scope)),
+)
 @settings(max_examples=300, deadline=None)
 def test_parts_and_glue_are_exactly_what_one_directory_would_find(suffixes, base, scope):
     groups = {f"g{i}": suffix for i, suffix in enumerate(sorted(suffixes))}
@@ -261,7 +269,11 @@
     first.own()
     cookie = first.cookie()
     assert Pages(identity_of(b"a"), 3, 2, 1, cookie).own() == range(1, 2)
-    for identity, given_cookie in ((identity_of(b"b"), cookie), (identity_of(b"a"), b"x"), (identity_of(b"a"), b"\xff\x00")):
+    for identity, given_cookie in (
+        (identity_of(b"b"), cookie),
+        (identity_of(b"a"), b"x"),
+        (identity_of(b"a"), b"\xff\x00"),
+    ):
         with pytest.raises(CookieError):
             Pages(identity, 3, 2, 1, given_cookie)
     last = Pages(identity_of(b"a"), 3, 0, 1, b"")
@@ -275,7 +287,13 @@
 
 
 def test_a_part_takes_the_strictest_of_the_classes_that_it_reaches():
-    kinds = [kind("wide", "bounded", 900), kind("tight", "bounded", 100, SECOND // 2), kind("own", "session"), kind("strict-read", "fresh", 0, 5 * SECOND), kind("all", "any")]
+    kinds = [
+        kind("wide", "bounded", 900),
+        kind("tight", "bounded", 100, SECOND // 2),
+        kind("own", "session"),
+        kind("strict-read", "fresh", 0, 5 * SECOND),
+        kind("all", "any"),
+    ]
     search = frozenset({"search"})
     rules = (
         Rule("wide", search, "ou=a,dc=x"), Rule("tight", search, "ou=t,ou=a,dc=x"),
--- a/tests/test_spread_path.py
+++ b/tests/test_spread_path.py
@@ -211,7 +211,10 @@
         desk = Desk(place)
         answer = run(desk.spread, parts=needs(place))
         assert answer.code == 0 and len(names(answer)) == len(set(names(answer))) == 1 + 200 * 2
-        sends = sorted((f for f in place.record.facts if f["kind"] in ("gateway_send", "gateway_attempt_end")), key=lambda f: f["at"])
+        sends = sorted(
+            (f for f in place.record.facts if f["kind"] in ("gateway_send", "gateway_attempt_end")),
+            key=lambda f: f["at"],
+        )
         out = most = 0
         for fact in sends:
             out += 1 if fact["kind"] == "gateway_send" else -1
@@ -248,6 +251,7 @@
 
 def test_continuations_are_passed_on_once_and_not_where_the_search_goes_itself():
     with many(2, entries=1) as place:
+
         def ref(group, name, uri):
             suffix = f"ou={group},{BASE}"
             attributes = (("objectClass", (b"referral",)), ("ref", (uri,)))
--- a/tests/test_tallies.py
+++ b/tests/test_tallies.py
@@ -7,14 +7,18 @@
 from yardbank.gateway.api import MS
 from yardbank.gateway.tallies import BUCKETS, LEAST, MOST, Tallies, Tally, beyond, bucket
 
-ANSWERS = st.tuples(st.sampled_from([READ, WRITE]), st.sampled_from(["served", "refused", "failed", "left"]), st.integers(0, 1 << 40))
+ANSWERS = st.tuples(
+    st.sampled_from([READ, WRITE]), st.sampled_from(["served", "refused", "failed", "left"]), st.integers(0, 1 << 40)
+)
 
 
 @settings(max_examples=200, derandomize=True, deadline=None)
 @given(st.integers(1 << LEAST, (1 << MOST) - 1), st.integers(0, 1 << 50))
 def test_a_bucket_holds_what_is_at_most_an_eighth_below_its_end(ns, other):
     assert ns < beyond(bucket(ns)) <= ns * 1.125 + 1
-    assert 0 <= bucket(other) < BUCKETS and (bucket(ns) <= bucket(other)) == (beyond(bucket(ns)) <= beyond(bucket(other)))
+    assert 0 <= bucket(other) < BUCKETS and (bucket(ns) <= bucket(other)) == (
+        beyond(bucket(ns)) <= beyond(bucket(other))
+    )
 
 
 @settings(max_examples=100, derandomize=True, deadline=None)
@@ -30,9 +34,13 @@
         served = sorted(took for one, answer, took in ends if one is kind and answer == "served")
         assert (tally.in_time, tally.late) == (sum(t <= kind.aim for t in served), sum(t > kind.aim for t in served))
         assert sum(tally.latencies) == len(served) == tally.in_time + tally.late
-        assert tally.refused + tally.failed + tally.left == sum(one is kind and answer != "served" for one, answer, _ in ends)
+        assert tally.refused + tally.failed + tally.left == sum(
+            one is kind and answer != "served" for one, answer, _ in ends
+        )
         if served:
-            assert tally.quantile(1.0) == beyond(bucket(served[-1])) and tally.quantile(0.5) == beyond(bucket(served[(len(served) - 1) // 2]))
+            assert tally.quantile(1.0) == beyond(bucket(served[-1])) and tally.quantile(0.5) == beyond(
+                bucket(served[(len(served) - 1) // 2])
+            )
         if earlier is not None:
             after = tally.since(earlier[kind.name])
             assert sum(after.latencies) == sum(one is kind and answer == "served" for one, answer, _ in ends[cut:])
--- a/yardbank/audit/gone.py
+++ b/yardbank/audit/gone.py
@@ -76,8 +76,10 @@
         if times and times[0] > end["at"] + bounds.late:
             late.append(attempts[0])
     cases.sort(key=lambda fact: float(fact["at"]))
-    seen = (f"{len(gone)} requests of clients that had gone: {len(cases)} attempts more than {bounds.within:g} s "
-            f"later; {waiting} waited for their first, {len(late)} sent on more than {bounds.late:g} s later")
+    seen = (
+        f"{len(gone)} requests of clients that had gone: {len(cases)} attempts more than {bounds.within:g} s "
+        f"later; {waiting} waited for their first, {len(late)} sent on more than {bounds.late:g} s later"
+    )
     if len(cases) >= bounds.cases:
         worst = cases[bounds.cases - 1]
         return Finding(False, f"{seen}; {worst['tag']} by {worst['gateway']} to {worst['server']}", worst)
--- a/yardbank/cli/plan.py
+++ b/yardbank/cli/plan.py
@@ -102,7 +102,7 @@
         sys.exit(EXIT_FAULT)
     if out is not None and zone is not None:
         part = out.with_name(f".{out.name}.new")
-        part.write_text(render(problem, found, zone, data, time.time(), fade, ' '.join(relax)))
+        part.write_text(render(problem, found, zone, data, time.time(), fade, " ".join(relax)))
         os.replace(part, out)
     if as_json:
         shares = [
--- a/yardbank/cli/rollout.py
+++ b/yardbank/cli/rollout.py
@@ -82,7 +82,7 @@
         checked_or_exit(lambda path: sound(loaded, path), new)
     order = Order(change.id, _zones(file, config), change.stages)
     if not order.can_be_judged:
-        _fault(f"{path}:1: rollout \"{change.id}\": no zone has two gateways: there would be nothing to compare with")
+        _fault(f'{path}:1: rollout "{change.id}": no zone has two gateways: there would be nothing to compare with')
     table = Table()
     for column in ("stage", "gateways", "of zones"):
         table.add_column(column)
@@ -128,8 +128,12 @@
 def _print(view: dict[str, Any], written: float) -> None:
     console = Console(width=120)
     state = "finished" if view["finished"] else f"stopped: {view['stopped']}" if view["stopped"] else "under way"
-    console.print(f"{view['rollout']}: {state}; stage {view['stage']} of {view['stages']}; this gateway: "
-                  f"{view['place']}; written {time.time() - written:.1f} s ago", markup=False, highlight=False)
+    console.print(
+        f"{view['rollout']}: {state}; stage {view['stage']} of {view['stages']}; this gateway: "
+        f"{view['place']}; written {time.time() - written:.1f} s ago",
+        markup=False,
+        highlight=False,
+    )
     if view["held"] and not view["finished"]:
         console.print(f"held: {view['held']}", markup=False, highlight=False)
     table = Table()
--- a/yardbank/config/advice.py
+++ b/yardbank/config/advice.py
@@ -32,7 +32,7 @@
             base = match.base or "everything"
             found.append(
                 f'class "{kind.name}": {base} is written as {", ".join(writers)}, and read only {age}: a client may '
-                "not see there what it has just written (a class with read = \"session\" would show it)"
+                'not see there what it has just written (a class with read = "session" would show it)'
             )
     return found
 
--- a/yardbank/daemon/keeper.py
+++ b/yardbank/daemon/keeper.py
@@ -57,7 +57,11 @@
         environment = {**os.environ, **told}
         self._versions.started(time.monotonic())
         self._process = self._reactor.spawnProcess(
-            _Worker(self), command[0], command, env=environment, childFDs={0: "w", 1: 1, 2: 2}  # ends as this one does
+            _Worker(self),
+            command[0],
+            command,
+            env=environment,
+            childFDs={0: "w", 1: 1, 2: 2},  # ends as this one does
         )
         self._log.info("worker_started", worker=0, pid=self._process.pid, version=now.name, rollout=now.rollout)
 
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -91,9 +91,7 @@
             "refused": dict(self._refused),
             "asks_left_out": self.asks_left_out,
             "passed": {"malformed": self._passed.malformed, "false": self._passed.false},
-            **gateway_view(
-                self._router, self._specs, self._servers, self.connections(), self._groups, self._ends
-            ),
+            **gateway_view(self._router, self._specs, self._servers, self.connections(), self._groups, self._ends),
         }
 
     def _carry_out(self, action: api.Action, cause: api.Event) -> None:
--- a/yardbank/proxy.py
+++ b/yardbank/proxy.py
@@ -107,8 +107,15 @@
             self.gateway.apply_list(build.servers(config))
         else:
             self._fleet = FleetKeeper(
-                config, self.gateway, reactor, folder, worker, self.log, take_classes=self._take_classes,
-                workers=workers, wall=wall,
+                config,
+                self.gateway,
+                reactor,
+                folder,
+                worker,
+                self.log,
+                take_classes=self._take_classes,
+                workers=workers,
+                wall=wall,
             )
 
     def _join(self, config: Config, state: Path | None, wall: Callable[[], float], started: Started | None) -> None:
--- a/yardbank/rig/circles.py
+++ b/yardbank/rig/circles.py
@@ -159,4 +159,3 @@
     def told(self, state: int) -> list[tuple[int, str, str]]:
         """Each change to this state: when, at whom, of whom."""
         return [(at, name, change.name) for at, name, change in self.history if change.state == state]
-
--- a/yardbank/rig/known.py
+++ b/yardbank/rig/known.py
@@ -80,9 +80,7 @@
 
     def settled(self, gateways: Iterable[str]) -> bool:
         """Whether a rollout is through for these: finished and on the new version, or stopped and on the old one."""
-        return all(
-            name in self._ends and (name in self.over) == (self._ends[name] == "finished") for name in gateways
-        )
+        return all(name in self._ends and (name in self.over) == (self._ends[name] == "finished") for name in gateways)
 
     def standing(self) -> list[str]:
         """Events that have come and still hold, for steps that begin to wait now."""
--- a/yardbank/rig/place.py
+++ b/yardbank/rig/place.py
@@ -25,7 +25,7 @@
   read = "bounded"
   staleness = "{STALENESS * 1e3:.0f}ms"
   aim = "500ms"
-  deadline = "{DEADLINE['lookup'] * 1e3:.0f}ms"
+  deadline = "{DEADLINE["lookup"] * 1e3:.0f}ms"
   worth = 2
   match {{
     operation = ["search", "compare"]
@@ -37,7 +37,7 @@
   effect = "safe"
   read = "session"
   aim = "750ms"
-  deadline = "{DEADLINE['status'] * 1e3:.0f}ms"
+  deadline = "{DEADLINE["status"] * 1e3:.0f}ms"
   late_worth = 0.2
   match {{
     operation = ["search", "compare"]
@@ -49,7 +49,7 @@
   effect = "unsafe"
   read = "write"
   aim = "500ms"
-  deadline = "{DEADLINE['commit'] * 1e3:.0f}ms"
+  deadline = "{DEADLINE["commit"] * 1e3:.0f}ms"
   worth = 3
   late_worth = 0.7
   match {{
--- a/yardbank/rig/steps.py
+++ b/yardbank/rig/steps.py
@@ -74,13 +74,13 @@
         given = {"from" if name == "from_" else name for name in self.model_fields_set}
         for field, kinds in _MAY.items():
             if field in given and self.do not in kinds:
-                raise ValueError(f"{field}: not for do = \"{self.do}\"")
+                raise ValueError(f'{field}: not for do = "{self.do}"')
         needed = _NEEDS.get(self.do)
         if needed and needed not in given:
-            raise ValueError(f"{needed}: missing for do = \"{self.do}\"")
+            raise ValueError(f'{needed}: missing for do = "{self.do}"')
         for field in ("from", "to") if self.do in NETWORK else () if self.do in (*ROLLOUT, *CLIENT) else ("who",):
             if field not in given:
-                raise ValueError(f"{field}: missing for do = \"{self.do}\"")
+                raise ValueError(f'{field}: missing for do = "{self.do}"')
         if self.lasts and self.until:
             raise ValueError("lasts and until: one of both")
         if self.do in ("hand_over", *ROLLOUT, *CLIENT) and (self.lasts or self.until):
