--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 lint: $(VENV)/ready
 	$(VENV)/bin/ruff check .
+	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/mypy
 
 test: lint
--- a/tests/test_standing_terms.py
+++ b/tests/test_standing_terms.py
@@ -2,6 +2,7 @@
 
 import re
 from collections import defaultdict
+from typing import ClassVar
 
 import pytest
 
@@ -18,7 +19,7 @@
 class Watched(Router):
     """Notes when it was asked, sent, and turned away."""
 
-    made = []
+    made: ClassVar[list[Router]] = []
 
     def __init__(self, settings):
         super().__init__(settings)
