Distribution: one gateway publishes the list, all hold verified copies of it

Nothing in the program carried it: files were watched, and brought by the operator's tools.

The joined suite was not run yet.

--- /dev/null
+++ b/benchmarks/scale/health.py
@@ -0,0 +1,87 @@
+"""What is known of databases, and who asks them: judging words on them, and questions that the whole fleet puts."""
+
+from __future__ import annotations
+
+from random import Random
+
+from benchmarks.scale.decisions import DATABASES, START, members, settings, specs
+from benchmarks.scale.line import COUNTED, Line, Quantity, Values
+from benchmarks.scale.memory import processor_ms
+from yardbank.interface import ServerList
+from yardbank.peers.belief import believe
+from yardbank.peers.circle import Circle
+from yardbank.peers.datagram import Word
+from yardbank.peers.evidence import SILENT
+from yardbank.peers.sharing import Sharing
+from yardbank.peers.shell import JUDGE_EVERY
+from yardbank.policy import Router
+from yardbank.rig.virtual import Fleet
+from yardbank.rig.virtual_world import World
+
+SECOND = 1_000_000_000
+JUDGED = SECOND / JUDGE_EVERY  # times a second, where datagrams come that often
+DOUBTED = 4  # databases that others say words of, as on an ordinary bad day
+RATE, LENGTH = 240.0, 12.0  # first tries a second of the whole fleet; seconds
+
+
+def sharing_by_databases(databases: int, seed: int) -> Values:
+    """One gateway's side of what is shared: words judged, figures told; as a share of a core."""
+    router = Router(settings())
+    router.handle(START, ServerList("saved", members(databases)))
+    listed = {spec.name: spec for spec in specs(databases)}
+    numbers = {name: number for number, name in enumerate(listed)}
+    sharing = Sharing(router, listed, numbers, lambda: dict.fromkeys(listed, 1), {}, lambda event: None)
+    circle = Circle("g0000", "porting", [b"k" * 32], 1, Random(seed))
+    circle.listed(START, [f"g{number:04}" for number in range(20)])
+    words = [Word(f"g{n:04}", 1, n + 1, f"db-{d:05}", 0, SILENT, 10) for n in range(1, 4) for d in range(DOUBTED)]
+    circle.evidence.heard(START, words)
+
+    def judge() -> None:
+        own = sharing.first_hand(START)
+        circle.evidence.saw(START, own)
+        sharing.believe(believe(START, circle.evidence, sharing.listed(), own, lambda name: 0.5))
+
+    def tell() -> None:
+        circle.register.set(sharing.figures())
+
+    judged, told = processor_ms(judge, 30), processor_ms(tell, 10)
+    return {"one judgement": judged, "figures": told, "processor": (judged * JUDGED + told) / 10}
+
+
+def questions_by_gateways(gateways: int, seed: int) -> Values:
+    """Of a fleet with the same traffic and databases: what each database is asked and opened, and what it holds."""
+    world = World(seed=seed, gateways=gateways, groups=4, copies=5, rate=RATE, length=LENGTH)
+    fleet = Fleet(world, Router)
+    counts: dict[str, int] = {}
+    fleet.count = lambda what: counts.__setitem__(what, counts.get(what, 0) + 1)  # type: ignore[method-assign]
+    fleet.run()
+    servers = len(fleet.servers)
+    held = sum(sum(gateway._idle.values()) for gateway in fleet.gateways)
+    busiest = max(sum(gateway._idle[number] for gateway in fleet.gateways) for number in fleet.servers)
+    return {"asked": counts.get("probes", 0) / servers / LENGTH, "opened": counts.get("connections", 0) / servers / LENGTH,
+            "held": held / servers, "most held": busiest,
+            "asked by one gateway": counts.get("probes", 0) / gateways / LENGTH}  # fmt: skip
+
+
+LINES = (
+    Line(
+        "sharing-databases", "Words on databases: one gateway's judging and telling, by databases", "databases", DATABASES,
+        3900,
+        (Quantity("one judgement", "ms"), Quantity("figures", "ms"), Quantity("processor", "% of a core")),
+        sharing_by_databases,
+        "What a gateway with a `peers` block does beside the link itself: its own findings taken, others' words judged (five"
+        " times a second, as datagrams come), its counts told (once a second). Four databases are doubted by three.",
+        small=(100,),
+    ),
+    Line(
+        "questions-gateways", "What databases are asked by the whole fleet, by gateways", "gateways",
+        (25, 50, 100, 200, 400), 1800,
+        (Quantity("asked", "questions/s a database", COUNTED), Quantity("opened", "connections/s a database", COUNTED),
+         Quantity("held", "connections a database", COUNTED), Quantity("most held", "connections", COUNTED),
+         Quantity("asked by one gateway", "questions/s", COUNTED)),
+        questions_by_gateways,
+        "The virtual fleet: 240 first tries a second over 24 databases in four groups, the same at each size; 12 s. So each"
+        " gateway has less traffic, the more there are, and what each asks for itself adds up.",
+        small=(25,), runs=2,
+    ),
+)  # fmt: skip
--- /dev/null
+++ b/benchmarks/scale/lists.py
@@ -0,0 +1,80 @@
+"""Lists of databases by their length: octets, and processor time to read and apply them."""
+
+from __future__ import annotations
+
+import time
+
+import msgspec
+
+from benchmarks.scale.decisions import DATABASES, MEMBERS, specs
+from benchmarks.scale.line import COUNTED, Line, Quantity, Values
+from benchmarks.scale.memory import grown_kib
+from yardbank.gateway import ServerSpec
+from yardbank.membership import Apply, Membership
+from yardbank.membership.document import render
+from yardbank.platform.listing import parse_listing
+
+
+def files_by_databases(databases: int, seed: int) -> Values:
+    """List files of the operator's: octets, first read, read with one entry changed."""
+    membership = Membership({f"group-{n:05}" for n in range(databases // MEMBERS + 1)}, settle=0)
+    listed = specs(databases)
+    text = render(listed).encode()
+    began = time.process_time()
+    (action,), memory = grown_kib(lambda: membership.seen(1, {"list": text}))  # type: ignore[misc]
+    first = (time.process_time() - began) * 1e3
+    assert isinstance(action, Apply)
+    times = []
+    for turn in range(5):
+        at = 1 + (seed + turn) * 7 % (databases - 1)
+        was = listed[at]
+        listed[at] = ServerSpec(was.name, was.group, was.zone, "10.0.0.2", 6000 + turn, was.primary)
+        changed = render(listed).encode()
+        began = time.process_time()
+        (action,) = membership.seen(2 + turn, {"list": changed})
+        times.append((time.process_time() - began) * 1e3)
+        assert isinstance(action, Apply)
+    return {"whole": len(text) / 1024, "one entry": len(render(listed[:1])), "memory": memory, "first read": first,
+            "changed entry": sorted(times)[2]}  # fmt: skip
+
+
+def _json(databases: int, reset: bool) -> bytes:
+    entries = [
+        {"instanceId": f"s-{n:08x}", "hostPort": f"10.1.{n % 250}.{n % 200}:6432", "zone": f"z{n % 11}",
+         "machineType": "m2", "cell": n // MEMBERS, "lifecycle": "Ready", "weight": 1.0, "startedAtMs": 1767225600123}
+        for n in range(databases)
+    ]  # fmt: skip
+    return msgspec.json.encode({"generation": 41, "reset": reset, "instances": entries})
+
+
+def discovery_by_databases(databases: int, seed: int) -> Values:
+    """Discovery's lists on the operators' platform: octets and time to read."""
+    whole, one = _json(databases, True), _json(1, False)
+    began = time.process_time()
+    parse_listing(whole)
+    first = (time.process_time() - began) * 1e3
+    began = time.process_time()
+    for _ in range(200):
+        parse_listing(one)
+    return {"whole": len(whole) / 1024, "one entry": len(one), "whole read": first,
+            "one entry read": (time.process_time() - began) / 200 * 1e3}  # fmt: skip
+
+
+LINES = (
+    Line(
+        "list-files", "List files by databases", "databases", DATABASES, 3900,
+        (Quantity("whole", "KiB", COUNTED), Quantity("one entry", "octets", COUNTED), Quantity("memory", "KiB"),
+         Quantity("first read", "ms"), Quantity("changed entry", "ms")),
+        files_by_databases,
+        "The operator's list as `yardbank list` writes it, read and checked; then with one entry moved, written whole.",
+        small=(100,),
+    ),
+    Line(
+        "list-discovery", "Discovery's lists by databases", "databases", DATABASES, 3900,
+        (Quantity("whole", "KiB", COUNTED), Quantity("one entry", "octets", COUNTED), Quantity("whole read", "ms"),
+         Quantity("one entry read", "ms")),
+        discovery_by_databases,
+        "Messages of the operators' platform: a whole list, and a change of one entry as its watch brings it.",
+        small=(100,),
+    ),
+)  # fmt: skip
--- /dev/null
+++ b/benchmarks/scale/memory.py
@@ -0,0 +1,33 @@
+"""Memory and processor time of this process."""
+
+from __future__ import annotations
+
+import gc
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+KIB = 1024
+_PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+def resident_kib() -> float:
+    """Resident memory of this process, KiB, after a collection."""
+    gc.collect()
+    return int(Path("/proc/self/statm").read_text().split()[1]) * _PAGE / KIB
+
+
+def grown_kib(make: Callable[[], object]) -> tuple[object, float]:
+    """What was made, and by how much this process grew by it, KiB."""
+    before = resident_kib()
+    made = make()
+    return made, resident_kib() - before
+
+
+def processor_ms(work: Callable[[], object], turns: int = 1) -> float:
+    """Processor time of one turn of some work, ms: the mean of several."""
+    began = time.process_time()
+    for _ in range(turns):
+        work()
+    return (time.process_time() - began) / turns * 1e3
--- /dev/null
+++ b/benchmarks/scale/real.py
@@ -0,0 +1,130 @@
+"""How well hollow gateways stand for real ones: python -m benchmarks.scale.real [--gateways N].
+
+The same fleet twice: processes of the program behind the rig, and the same number of hollow gateways. Both publish a
+change each two seconds. A value whose two figures differ by over a fifth is called unbacked.
+"""
+
+from __future__ import annotations
+
+import argparse
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+from statistics import mean
+
+from benchmarks.common import machine, table
+from benchmarks.scale.__main__ import commit
+from benchmarks.scale.gossip import acquaint
+from benchmarks.scale.line import FOLDER
+from benchmarks.scale.whole import HollowFleet
+
+SECOND = 1_000_000_000
+LENGTH, EVERY = 24, 2  # seconds of the play, between two changes
+SERVERS = 12
+ALIKE = 0.2  # the part by which two figures of a backed value may differ
+SCENARIO = """
+title = "Gateways with a published list, for comparison with hollow ones"
+fleet {{
+  gateways   = {gateways}
+  peers      = true
+  period     = "1s"
+  publishers = ["g1"]
+}}
+group "numbers" {{
+  suffix  = "ou=numbers,dc=porting"
+  servers = {servers}
+}}
+load {{
+  rate    = 2
+  clients = 4
+  length  = "{length}s"
+}}
+{steps}
+claim "distributed" {{
+  kind = "distributed"
+}}
+"""
+STEP = 'step "change {at}" {{\n  do = "publish"\n  at = "{at}s"\n  who = ["numbers-{server}"]\n}}\n'
+
+
+def in_force(published: dict[tuple[int, int], float], held: list[tuple[float, tuple[int, int]]]) -> list[float]:
+    """Seconds from each publication to each first announcement of it or of a later one."""
+    return [at - published[version] for at, version in held if version in published]
+
+
+def processes(gateways: int) -> dict[str, float]:
+    """The program's own processes."""
+    steps = "".join(STEP.format(at=at, server=1 + at // EVERY % SERVERS) for at in range(8, LENGTH - 4, EVERY))
+    with tempfile.TemporaryDirectory() as folder:
+        file, kept = Path(folder) / "s.hcl", Path(folder) / "kept"
+        file.write_text(SCENARIO.format(gateways=gateways, servers=SERVERS, length=LENGTH, steps=steps))
+        command = [sys.executable, "-m", "yardbank", "rig", "run", str(file), "--keep", str(kept)]
+        done = subprocess.run(command, capture_output=True, text=True, check=False)
+        if done.returncode:
+            raise SystemExit(done.stdout + done.stderr)
+        facts = [json.loads(line) for line in (kept / "record.jsonl").read_text().splitlines()]
+    began = next(fact["at"] for fact in facts if fact["kind"] == "load_begun")
+    ended = next(fact["at"] for fact in facts if fact["kind"] == "load_over")
+    first: dict[tuple[int, int], float] = {}
+    last: dict[tuple[int, int], float] = {}
+    for fact in facts:
+        if fact["kind"] == "holds" and fact["number"] > 1:
+            version = fact["epoch"], fact["number"]
+            first.setdefault(version, fact["at"])
+            last[version] = max(last.get(version, 0.0), fact["at"])
+    octets = sum(fact["octets"] for fact in facts if fact["kind"] == "datagrams")
+    return {
+        "octets/s a gateway": octets / gateways / (ended - began),
+        "versions": len(first),
+        "last announcement of a version, s after the first": mean(last[one] - first[one] for one in first),
+    }
+
+
+def hollow(gateways: int) -> dict[str, float]:
+    """The same on the virtual clock."""
+    fleet = HollowFleet(gateways, SERVERS, 1)
+    fleet.controls = fleet.names[:1]
+    for name in fleet.names:
+        fleet.start(name)
+    acquaint(fleet)
+    fleet.distribution[fleet.publisher].source(fleet.own(fleet.publisher), fleet._entries)
+    random = Random(1)
+    for at in range(8, LENGTH - 4, EVERY):
+        fleet.at(at * SECOND, lambda: fleet.change(random))
+    began = time.process_time()
+    fleet.run(LENGTH * SECOND)
+    spread = [max(one.held.values()) - one.at for one in fleet.versions.values()]
+    return {
+        "octets/s a gateway": sum(fleet.octets.values()) / gateways / LENGTH,
+        "versions": len(fleet.versions),
+        "last adoption of a version, s after the first": mean(spread) / SECOND,
+        "processor, % of a core": (time.process_time() - began) / LENGTH / gateways * 100,
+    }
+
+
+def main() -> None:
+    """Measure and keep."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--gateways", type=int, default=24)
+    gateways = parser.parse_args().gateways
+    real, model = processes(gateways), hollow(gateways)
+    key = "octets/s a gateway"
+    differ = abs(real[key] - model[key]) / real[key]
+    rows = [
+        [key, f"{real[key]:.0f}", f"{model[key]:.0f}", f"{differ:.2f}", "backed" if differ <= ALIKE else "unbacked"]
+    ]
+    notes = [f"Real: {json.dumps(real)}", "", f"Hollow: {json.dumps(model)}"]
+    text = f"# Real processes beside hollow gateways: {gateways} of each\n\nTaken on {commit()}; {machine()}. Again:" \
+           f" `python -m benchmarks.scale.real --gateways {gateways}`.\n\n"  # fmt: skip
+    text += table("The same fleet twice", ["what", "real", "hollow", "differ by", "so it is"], rows, notes)
+    FOLDER.mkdir(parents=True, exist_ok=True)
+    (FOLDER / "real.md").write_text(text)
+    print(text)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/scale/together.py
@@ -0,0 +1,89 @@
+"""What gateways do together: leases and feeds by channels, the latency map by zones, a rollout by gateways."""
+
+from __future__ import annotations
+
+import time
+
+from benchmarks.atlas_fleet import Fleet as MapFleet
+from benchmarks.atlas_fleet import sites, spread_over
+from benchmarks.scale.line import COUNTED, Line, Quantity, Values
+from tests.channels_fleet import ChannelFleet
+from tests.rollout_world import World, change, zoned
+
+SECOND = 1_000_000_000
+GATEWAYS = 12
+SPAN = 10  # seconds of which the mean is taken
+MAP_GATEWAYS = 44
+STAGES = (0.02, 0.1, 0.5, 1.0)
+
+
+def feeds_by_channels(channels: int, seed: int) -> Values:
+    """Twelve gateways that all follow all channels, one item a second on each."""
+    fleet = ChannelFleet(GATEWAYS, channels, seed, every=SECOND)
+    fleet.start()
+    owned = fleet.run_until(fleet.all_owned, 120 * SECOND)
+    fleet.run(5 * SECOND)
+    sent, began = sum(fleet.circles.octets.values()), time.process_time()
+    fleet.run(SPAN * SECOND)
+    return {
+        "all owned": float("inf") if owned is None else owned / SECOND,
+        "octets": (sum(fleet.circles.octets.values()) - sent) / SPAN / GATEWAYS,
+        "processor": (time.process_time() - began) / SPAN / GATEWAYS * 100,
+        "most carried": max(fleet.loads().values()),
+    }
+
+
+def map_by_zones(zones: int, seed: int) -> Values:
+    """Gateways in so many zones that share a map of what ways between zones cost."""
+    trips = sites(zones, seed)
+    fleet = MapFleet(spread_over(MAP_GATEWAYS, trips), trips, seed, probes=0.5)
+    fleet.run(60)
+    sent, began = sum(fleet.circles.octets.values()), time.process_time()
+    fleet.run(SPAN)
+    processor = (time.process_time() - began) / SPAN / MAP_GATEWAYS * 100
+    part = next(iter(fleet.parts.values()))
+    _, unknown = fleet.errors(own=False)
+    return {"octets": (sum(fleet.circles.octets.values()) - sent) / SPAN / MAP_GATEWAYS, "processor": processor,
+            "unknown ways": unknown / len(fleet.parts), "ways": len(part.ways(fleet.circles.own(next(iter(fleet.parts)))))}  # fmt: skip
+
+
+def rollout_by_gateways(gateways: int, seed: int) -> Values:
+    """A sound change through all stages: seconds until everybody is over, octets of all that is told meanwhile."""
+    world = World(zoned(gateways, 3), seed=seed)
+    world.run(30)
+    sent, began = sum(world.circles.octets.values()), world.circles.now
+    world.ask(change(stages=STAGES, hold=20 * SECOND, most_at_once=max(1, gateways // 12), longest=1800 * SECOND,
+                     worse_by=0.02))  # fmt: skip
+    over = world.until(lambda: len(world.said("finished")) == gateways, 3600)
+    spent = (world.circles.now - began) / SECOND
+    return {"over": float("inf") if over is None else (over - began) / SECOND,
+            "octets": (sum(world.circles.octets.values()) - sent) / spent / gateways}  # fmt: skip
+
+
+LINES = (
+    Line(
+        "feeds-channels", "Leases and feeds by channels", "channels", (6, 12, 24, 48), 1300,
+        (Quantity("all owned", "s", COUNTED), Quantity("octets", "octets/s", COUNTED),
+         Quantity("processor", "% of a core"), Quantity("most carried", "channels", COUNTED)),
+        feeds_by_channels,
+        "Twelve gateways that would all carry and that all follow every channel; an item of six octets a second on each,"
+        " leases of 3 s. The target size is a channel for each group of three of 3,900 databases, which every gateway"
+        " follows. Values are of one gateway.",
+        small=(6,), runs=1,
+    ),
+    Line(
+        "map-zones", "The latency map by zones", "zones", (3, 6, 11, 22), 11,
+        (Quantity("octets", "octets/s", COUNTED), Quantity("processor", "% of a core"),
+         Quantity("unknown ways", "a gateway", COUNTED), Quantity("ways", "known", COUNTED)),
+        map_by_zones,
+        "44 gateways; each sees a round trip to each zone every two seconds. The link's own octets are in.",
+        small=(3,), runs=1,
+    ),
+    Line(
+        "rollout-gateways", "A rollout by gateways", "gateways", (8, 16, 32, 64), 1800,
+        (Quantity("over", "s", COUNTED), Quantity("octets", "octets/s", COUNTED)),
+        rollout_by_gateways,
+        "A sound change in four stages of 20 s each at least, a twelfth at once; the link's and the leases' octets are in.",
+        small=(8,), runs=1,
+    ),
+)  # fmt: skip
--- /dev/null
+++ b/tests/distribution_faults.py
@@ -0,0 +1,57 @@
+"""Seeded faults of a gateway's copy of the distributed list; each changes one thing."""
+
+
+def deaf_to_lists():
+    """Hears nothing of new versions."""
+    from yardbank.distribution.replica import Replica
+
+    Replica.receive = lambda self, now, sender, message: None
+
+
+def alters_entries():
+    """Says of other entries that they are the published version."""
+    from yardbank.distribution.replica import Replica
+
+    Replica._own = lambda self: type(own(self))(own(self).version, bytes(16)) if self.table.entries else own(self)
+
+
+def own(replica):
+    """What a sound one announces."""
+    from yardbank.distribution.messages import Have
+
+    return Have(replica.table.version, replica.table.digest)
+
+
+def goes_back():
+    """Falls back to nothing every other second."""
+    from yardbank.distribution.messages import Have
+    from yardbank.distribution.replica import EMPTY, Replica
+
+    heartbeat, turns = Replica.tick, []
+
+    def tick(self, now):
+        turns.append(now)
+        Replica._own = (
+            (lambda self: EMPTY) if len(turns) % 2 else (lambda self: Have(self.table.version, self.table.digest))
+        )
+        heartbeat(self, now)
+
+    Replica.tick = tick
+
+
+def appoints_itself():
+    """Publishes without a lease, always under one epoch, entries of its own."""
+    from yardbank.distribution.part import DistributionPart
+
+    publish = DistributionPart._publish
+
+    def alone(self, now, source):
+        leases, self._leases = self._leases, type("Always", (), {"epoch": lambda *_: 1 << 61})()
+        publish(self, now, {**source, self._sight.name: "its own"})
+        self._leases = leases
+
+    DistributionPart._publish = alone
+
+
+BUGS = {made.__name__: made for made in (deaf_to_lists, alters_entries, goes_back, appoints_itself)}
+EVERYWHERE = {"appoints_itself"}
--- /dev/null
+++ b/tests/distribution_fleet.py
@@ -0,0 +1,101 @@
+"""A fleet on a virtual clock whose gateways hold copies of a published list; checks the invariants as it goes."""
+
+from collections import defaultdict
+
+from yardbank.distribution.part import DistributionPart
+from yardbank.distribution.table import Table
+from yardbank.distribution.version import NOTHING
+from yardbank.rig.circles import Circles
+
+SECOND = 1_000_000_000
+
+
+class OneHolder:
+    """Leases as far as a publisher asks for them: one gateway holds, others do not."""
+
+    def __init__(self, fleet, name):
+        self._fleet, self._name = fleet, name
+
+    def want(self, now, resource):
+        """Asked for."""
+
+    def epoch(self, now, resource):
+        return self._fleet.epoch if self._fleet.holder == self._name else None
+
+
+class ListFleet:
+    """``kept``: copies that outlive their gateway's process."""
+
+    def __init__(self, gateways, seed=1, zones=None, options=None, publishers=2):
+        self.names = [f"g{number:03}" for number in range(gateways)]
+        self.zones = zones or {name: f"z{at % 3}" for at, name in enumerate(self.names)}
+        self.holder, self.epoch, self.publishers = self.names[0], 1, self.names[:publishers]
+        self.options, self.wanted = options, {"db-1": "a"}
+        self.parts, self.kept = {}, defaultdict(Table)
+        self.reached = {}  # by gateway: the last version, unless it lost its copy since
+        self.published, self.adopted = (
+            {},
+            defaultdict(list),
+        )  # entries by version; by gateway: when, version, whether by a snapshot
+        self.circles = Circles(self.names, seed, zones=self.zones, parts=self._made)
+
+    def _made(self, circle, random):
+        part = DistributionPart(
+            circle.sight, OneHolder(self, circle.name), random, self.options, self.kept[circle.name]
+        )
+        self.parts[circle.name] = part
+        return [part]
+
+    def start(self, *names):
+        for name in names or self.names:
+            self.circles.start(name)
+            if name in self.publishers:
+                self.parts[name].source(self.circles.own(name), self.wanted)
+
+    def kill(self, name, lost=False):
+        self.circles.kill(name)
+        if lost:
+            self.kept.pop(name)
+            self.reached.pop(name, None)
+        del self.parts[name]
+
+    def want(self, **entries):
+        """The operator's list changes, at all who may publish it."""
+        self.wanted = {key: value for key, value in {**self.wanted, **entries}.items() if value is not None}
+        for name in self.publishers:
+            if name in self.parts:
+                self.parts[name].source(self.circles.own(name), self.wanted)
+
+    def run(self, seconds, step=0.1):
+        end = self.circles.now + round(seconds * SECOND)
+        while self.circles.now < end:
+            self.circles.run(min(end, self.circles.now + round(step * SECOND)))
+            self.check()
+
+    def run_until(self, condition, most):
+        end = self.circles.now + most * SECOND
+        while self.circles.now < end and not condition():
+            self.run(0.1)
+        return condition()
+
+    def check(self):
+        running = {name: part for name, part in self.parts.items() if name not in self.circles.paused}
+        for name, part in running.items():
+            for one in part.adoptions():
+                assert one.version > self.reached.get(name, NOTHING)
+                self.reached[name] = one.version
+                self.adopted[name].append((self.circles.now, one.version, one.whole))
+                if one.source == name:
+                    assert one.version not in self.published
+                    self.published[one.version] = dict(part.replica.table.entries)
+        for name, part in running.items():
+            table = part.replica.table
+            assert table.version == NOTHING or dict(table.entries) == self.published[table.version]
+            self.kept[name] = table
+
+    def same(self, names=None):
+        """Whether these hold what is wanted now."""
+        return all(dict(self.parts[name].replica.table.entries) == self.wanted for name in names or self.parts)
+
+    def versions(self):
+        return {part.replica.table.version for part in self.parts.values()}
--- a/tests/rig_runner.py
+++ b/tests/rig_runner.py
@@ -9,7 +9,7 @@
 import sys
 from pathlib import Path
 
-from tests import moments_faults
+from tests import distribution_faults, moments_faults
 from yardbank import interface as api
 from yardbank.gateway import sending
 from yardbank.policy import Router
@@ -176,8 +176,8 @@
 
 
 BUGS = {made.__name__: made for made in (keeps_on, takes_twice, mute, restless, eager, deaf_to_stop, all_near)}
-BUGS |= moments_faults.BUGS
-EVERYWHERE = {"restless"} | moments_faults.EVERYWHERE  # at all gateways
+BUGS |= moments_faults.BUGS | distribution_faults.BUGS
+EVERYWHERE = {"restless"} | moments_faults.EVERYWHERE | distribution_faults.EVERYWHERE  # at all gateways
 
 
 def serve(fault):
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,79 @@
+"""The scale measurements in small: they run, their laws are found, and what they count is the same each time."""
+
+import math
+
+import pytest
+
+from benchmarks.scale.fit import fit
+from benchmarks.scale.gossip import link_by_gateways
+from benchmarks.scale.health import questions_by_gateways
+from benchmarks.scale.line import COUNTED, Found, load
+from benchmarks.scale.lines import LINES
+from benchmarks.scale.report import page
+from benchmarks.scale.whole import play
+
+SIZES = (8, 50, 200, 500, 1000)
+
+
+@pytest.mark.parametrize(
+    ("shape", "value"),
+    [("flat", lambda n: 7.0), ("log", lambda n: 3 + 2 * math.log2(n)), ("linear", lambda n: 5 + 0.5 * n),
+     ("square", lambda n: 5 + 0.01 * n * n)],
+)  # fmt: skip
+def test_a_law_is_found_with_its_figures(shape, value):
+    law = fit(SIZES, [value(size) for size in SIZES])
+    assert law.shape == shape and law.at(1800) == pytest.approx(value(1800))
+    assert law.worst < 1e-6
+
+
+def test_a_law_needs_two_sizes():
+    with pytest.raises(ValueError, match="two sizes"):
+        fit([8, 8], [1, 1])
+
+
+QUICK = sorted(set(LINES) - {"link-gateways", "join-gateways", "rollout-gateways", "feeds-channels", "map-zones",
+                             "questions-gateways"})  # fmt: skip
+
+
+@pytest.mark.parametrize("name", QUICK)
+def test_each_line_measures_all_that_it_names_and_counts_alike(name):
+    line = LINES[name]
+    first, second = (line.measure(line.small[0], 1) for _ in range(2))
+    assert set(first) == {quantity.name for quantity in line.quantities}
+    for quantity in line.quantities:
+        if quantity.how == COUNTED:
+            assert first[quantity.name] == second[quantity.name]
+
+
+def test_the_link_of_a_small_fleet_stays_within_what_it_may_send():
+    found = link_by_gateways(8, 1)
+    assert 50 < found["octets"] < 400 and found["death"] < 60 and found["death at 5 % loss"] < 60
+
+
+def test_what_databases_are_asked_is_counted_alike_and_grows_with_the_gateways_that_have_less_traffic():
+    few, again, many = (questions_by_gateways(size, 1) for size in (5, 5, 50))
+    assert few == again and many["opened"] > few["opened"]
+
+
+def test_a_small_whole_fleet_is_within_its_budgets_in_counts():
+    found = play(33, 30, 60.0)
+    assert found["versions"] >= 5 and found["reachable and never"] == 0
+    assert found["in force, most, s"] < 7 and found["octets/s, mean"] < 7000
+    assert found["returned and not caught up"] == 0 and found["returns"] > 5
+
+
+def test_what_is_kept_is_read_again_and_makes_a_page(tmp_path):
+    line = LINES["module-sessions"]
+    found = Found(line.name, "abc", "a machine")
+    for size in (1000, 2500, 5000):
+        found.runs[size] = [{quantity.name: float(size) for quantity in line.quantities}] * 2
+    found.save(tmp_path)
+    assert load(line.name, tmp_path) == found and load("none", tmp_path) is None
+    text = page(line, found)
+    assert "python -m benchmarks.scale module-sessions" in text and "| write | linear |" in text
+    assert "extrapolated 10.0 times" in text
+
+
+def test_every_line_has_four_sizes_and_a_small_one():
+    for line in LINES.values():
+        assert len(line.sizes) >= 4 and line.small and line.note
--- a/yardbank/audit/letters.py
+++ b/yardbank/audit/letters.py
@@ -21,6 +21,16 @@
     return [(sender, topic, body) for sender, topic, body in found if isinstance(body, list) and body]
 
 
+def holdings(data: bytes) -> list[dict[str, Any]]:
+    """Versions of the distributed list that a gateway says it holds, in one datagram, as facts."""
+    found = []
+    for sender, topic, body in letters(data):
+        if topic == "list" and body[0] == "have" and len(body) == 3:
+            (epoch, number), digest = body[1], body[2]
+            found.append({"kind": "holds", "gateway": sender, "epoch": epoch, "number": number, "digest": digest.hex()})
+    return found
+
+
 def items(data: bytes) -> list[dict[str, Any]]:
     """Items of channels in one datagram, as facts. ``sender`` may hand on what ``owner`` has made."""
     found = []
--- a/yardbank/config/blocks.py
+++ b/yardbank/config/blocks.py
@@ -85,6 +85,14 @@
     beat: Duration = 0  # between two readings of figures that are compared; 0: by the size of the fleet
 
 
+class DistributionBlock(Model):
+    """The list of servers, carried to this gateway over the peers' link; files are relative to the settings file."""
+
+    file: Annotated[str, Field(min_length=1)] = "distributed.hcl"  # written here; a membership block may watch it
+    source: str = ""  # the operator's list, at gateways that may publish it
+    heartbeat: Duration = 1_000_000_000  # between two announcements of the version that is held
+
+
 class AtlasBlock(Model):
     """The shared map of what ways between zones cost."""
 
--- a/yardbank/config/load.py
+++ b/yardbank/config/load.py
@@ -36,7 +36,7 @@
             if label in seen:
                 found.append(((kind, index), f'{kind} "{label}" is given twice'))
             seen.add(label)
-    for name in ("leases", "channels", "rollout", "atlas"):
+    for name in ("leases", "channels", "rollout", "atlas", "distribution"):
         if getattr(config, name) is not None and config.peers is None:
             found.append(((name,), f"{name}: needs a peers block"))
     if bool(config.server) == bool(config.membership):
--- a/yardbank/config/schema.py
+++ b/yardbank/config/schema.py
@@ -10,6 +10,7 @@
 from yardbank.config.blocks import (
     AtlasBlock,
     ChannelsBlock,
+    DistributionBlock,
     LeasesBlock,
     MembershipBlock,
     PeersBlock,
@@ -190,6 +191,7 @@
     channels: ChannelsBlock | None = None
     rollout: RolloutBlock | None = None
     atlas: AtlasBlock | None = None
+    distribution: DistributionBlock | None = None
     classes: tuple[Class, ...] = Field(alias="class", min_length=1)
     identity: tuple[Identity, ...] = ()
     gateway: GatewayBlock = GatewayBlock()
@@ -208,6 +210,7 @@
 }
 SINGLE = (
     "gateway", "limits", "logging", "strict", "membership", "state", "peers", "leases", "channels", "rollout", "atlas",
+    "distribution",
 )  # fmt: skip
 
 
--- a/yardbank/joint.py
+++ b/yardbank/joint.py
@@ -28,6 +28,7 @@
     from yardbank.channels.asking import PositionFeeds
     from yardbank.channels.face import Channels
     from yardbank.channels.placement import Distance
+    from yardbank.distribution.shell import DistributionFiles
     from yardbank.rollout.actuator import Actuator
     from yardbank.rollout.figures import Figures
     from yardbank.rollout.force import Started
@@ -39,7 +40,10 @@
 
 def wanted(config: Config) -> bool:
     """Whether a part is asked for at all."""
-    return any(block is not None for block in (config.leases, config.channels, config.rollout, config.atlas))
+    return any(
+        block is not None
+        for block in (config.leases, config.channels, config.rollout, config.atlas, config.distribution)
+    )
 
 
 class Joint:
@@ -57,6 +61,7 @@
         log: Any,
         reload: Callable[[Config], None],
         started: Started | None = None,
+        folder: Path = Path(),
     ) -> None:
         self._config, self._gateway, self._peers, self._state = config, gateway, peers, state
         self._reactor, self._wall, self._log, self._reload = reactor, wall, log, reload
@@ -67,6 +72,7 @@
         self._feeds: PositionFeeds | None = None
         self._actuator: Actuator | None = None
         self._map: AtlasPart | None = None
+        self._distribution: DistributionFiles | None = None
         block = config.leases
         self._terms = Terms(block.term, block.drift, block.overlap, block.voters) if block is not None else Terms()
         circle = peers.circle
@@ -80,6 +86,8 @@
             self._make_channels(config, distance)
         if config.rollout is not None:
             self._make_rollout(config, started)
+        if config.distribution is not None:
+            self._make_distribution(config, folder)
         peers.after.append(self._after)
 
     def _random(self, what: str) -> Random:
@@ -146,6 +154,25 @@
         if self.channels is not None:
             self.channels.part.prefer(lambda names: self._changed_first(part, names))
 
+    def _make_distribution(self, config: Config, folder: Path) -> None:
+        from yardbank.config.build import fleet_groups
+        from yardbank.distribution.options import Options
+        from yardbank.distribution.part import DistributionPart
+        from yardbank.distribution.shell import DistributionFiles, stored_table
+
+        block, circle = config.distribution, self._peers.circle
+        assert block is not None
+        part = DistributionPart(
+            circle.sight, self.leases, self._random("distribution"), Options(heartbeat=block.heartbeat),
+            stored_table(folder / block.file, self._log),
+        )  # fmt: skip
+        part.heard_epoch = self.leases.epochs.hear
+        circle.add(part)
+        self._distribution = DistributionFiles(
+            block, folder, fleet_groups(config), part, reactor=self._reactor, now=self._gateway.now, log=self._log,
+            prompt=self._peers.prompt,
+        )  # fmt: skip
+
     def _changed_first(self, part: RolloutPart, names: Iterable[str]) -> Sequence[str]:
         """Channels go on to where the change has been already, so that they are not handed on at each stage."""
         changed = part.changed()
@@ -171,11 +198,15 @@
             self._feeds.start()
         if self._actuator is not None:
             self._actuator.start()
+        if self._distribution is not None:
+            self._distribution.start()
 
     def _after(self, now: int) -> None:
         """The link has had a turn: hand on what the parts found."""
         for lease in self.leases.news():
             self._log.info("lease", resource=lease.resource, what=lease.what, epoch=lease.epoch, why=lease.why)
+        if self._distribution is not None:
+            self._distribution.after()
         if self._map is not None:
             for turn in self._map.changes():
                 ms = None if turn.ns is None else round(turn.ns / 1e6, 3)
@@ -201,5 +232,7 @@
             self._feeds.stop()
         if self._actuator is not None:
             self._actuator.stop()
+        if self._distribution is not None:
+            self._distribution.stop()
         if self.channels is not None:
             self.channels.stop()
--- a/yardbank/proxy.py
+++ b/yardbank/proxy.py
@@ -102,7 +102,7 @@
                 config.peers, folder, state, reactor=reactor, now=self.gateway.now, wall=wall,
                 seed=self.gateway.settings.seed, log=self.log, sharing=self.gateway.shared(Sharing),
             )  # fmt: skip
-            self._join(config, state, wall, started)
+            self._join(config, state, wall, started, folder)
         if config.membership is None:
             self.gateway.apply_list(build.servers(config))
         else:
@@ -118,14 +118,16 @@
                 wall=wall,
             )
 
-    def _join(self, config: Config, state: Path | None, wall: Callable[[], float], started: Started | None) -> None:
+    def _join(
+        self, config: Config, state: Path | None, wall: Callable[[], float], started: Started | None, folder: Path
+    ) -> None:
         from yardbank import joint
 
         assert self._peers is not None
         if joint.wanted(config):
             self._joint = joint.Joint(
                 config, self.gateway, self._peers, state, reactor=self._reactor, wall=wall, log=self.log,
-                reload=self.reload, started=started,
+                reload=self.reload, started=started, folder=folder,
             )  # fmt: skip
 
     @property
@@ -191,6 +193,7 @@
             "channels": (old.channels, config.channels),
             "rollout": (old.rollout, config.rollout),
             "atlas": (old.atlas, config.atlas),
+            "distribution": (old.distribution, config.distribution),
             "class times": (build.request_classes(old), build.request_classes(config)),
         }
         for name, (before, after) in fixed.items():
--- a/yardbank/rig/acting.py
+++ b/yardbank/rig/acting.py
@@ -40,6 +40,10 @@
                     self.places[name].ask(due.step)
             elif due.step.do in ("tell", "hold"):
                 self._list_step(due)
+            elif due.step.do == "publish":
+                for server in matching(due.step.who, list(self.scenario.servers())):
+                    self._published[server] = self._published.get(server, 0) + 1
+                self._write_source()
             elif due.step.do == "leave":
                 self._leave_step(due.step)
             else:
--- a/yardbank/rig/blocks.py
+++ b/yardbank/rig/blocks.py
@@ -21,6 +21,7 @@
     channels: bool = False  # one carries the servers' positions, and what programs publish, for all
     rollout: bool = False  # changes go through them in stages; each runs under a supervisor
     atlas: bool = False  # they share a map of ways between zones
+    publishers: Words = ()  # gateways that may publish a list, which all hold a copy of
     term: Duration = 1_000_000_000  # of a lease
     overlap: Duration = 300_000_000  # of two holders, at a planned handing on
     settle: Duration = 60_000_000_000  # they may take so long to agree, once the load is over
--- a/yardbank/rig/claim.py
+++ b/yardbank/rig/claim.py
@@ -11,6 +11,7 @@
 PEERS = ("views", "belief", "unmoved")  # need gateways that know of each other
 CHANNELS = ("owners", "followers", "owned_again", "steady")
 ROLLOUT = ("stages", "stopped", "advanced")
+DISTRIBUTION = ("distributed",)
 TERMS = ("gone_clients", "cold_sum", "told")  # judged by single octets: the rig's own lateness is noted for them
 _NEEDS = {"served": ("least",), "serves_again": ("after",), "owned_again": ("after",), "stages": ("most",),
           "steady": ("most",), "map": ("within",)}  # fmt: skip
@@ -18,7 +19,7 @@
     "least": ("served",), "request_class": ("served",), "who": ("alive", "serves_again", "stopped", "advanced"),
     "after": ("served", "serves_again", "owned_again", "steady"), "until": ("served", "steady"),
     "most": ("stages", "steady"), "overlap": ("owners",), "slack": ("owners",), "tail": ("owned_again",),
-    "share": ("map", "gone_clients"), "within": ("map", "gone_clients"), "late": ("gone_clients",),
+    "share": ("map", "gone_clients"), "within": ("map", "gone_clients", "distributed"), "late": ("gone_clients",),
     "cases": ("gone_clients",), "fewest": ("gone_clients",), "multiple": ("cold_sum",), "window": ("cold_sum",),
     "roots": ("cold_sum",), "spare": ("cold_sum",), "bound": ("told",), "grace": ("told",),
 }  # fmt: skip
@@ -30,7 +31,7 @@
     name: str
     kind: Literal["rules", "alive", "served", "serves_again", "views", "belief", "unmoved", "owners", "followers",
                   "owned_again", "steady", "stages", "stopped", "advanced", "map", "gone_clients", "cold_sum",
-                  "told"]  # fmt: skip
+                  "told", "distributed"]  # fmt: skip
     least: Annotated[float, Field(ge=0, le=1)] = 0.0  # share, for "served"
     after: str = ""  # a step: counted from its end
     until: str = ""  # a step: counted up to its beginning
@@ -41,7 +42,7 @@
     slack: Duration = 50_000_000  # of the rig's own recording
     tail: Duration = 1_000_000_000  # the load's last, in which each channel has one owner
     share: Annotated[float, Field(ge=0, le=1)] = 0.0  # of a way's round trip, that the map may be off
-    within: Duration = 0  # or so much; after a client has gone, an attempt that begins later is a case
+    within: Duration = 0  # or so much; from a client's leaving to an attempt; until all hold a version of the list
     late: Duration = 300_000_000  # a request that waited for its first attempt is sent on later than this
     cases: Annotated[int, Field(gt=0, strict=True)] = 3  # from this one on they are a break
     fewest: Annotated[int, Field(gt=0, strict=True)] = 5  # requests sent on late that may break the share
--- a/yardbank/rig/cross.py
+++ b/yardbank/rig/cross.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from yardbank.config.checked import Faults
-from yardbank.rig.claim import CHANNELS, PEERS
+from yardbank.rig.claim import CHANNELS, DISTRIBUTION, PEERS
 from yardbank.rig.claim import ROLLOUT as CHANGES
-from yardbank.rig.steps import DATAGRAMS, GATEWAY, ROLLOUT, matching
+from yardbank.rig.steps import DATAGRAMS, GATEWAY, PUBLISH, ROLLOUT, matching
 
 if TYPE_CHECKING:
     from yardbank.rig.scenario import Scenario
@@ -58,12 +58,17 @@
                 found.append((("step", index, field), f'step "{step.name}": {field}: is the step itself'))
         if step.do in ROLLOUT and not scenario.fleet.rollout:
             found.append((("step", index, "do"), f'step "{step.name}": do: needs fleet {{ rollout = true }}'))
+        if step.do in PUBLISH and not scenario.fleet.publishers:
+            found.append((("step", index, "do"), f'step "{step.name}": do: needs fleet {{ publishers }}'))
     found += _circles(scenario) + _parts(scenario)
     for index, claim in enumerate(scenario.claim):
         for step in scenario.step if claim.kind == "told" else ():
             if step.late >= claim.bound:
                 reason = f'claim "{claim.name}": bound: step "{step.name}" tells later than that'
                 found.append((("claim", index, "bound"), reason))
+        if claim.kind in DISTRIBUTION and not scenario.fleet.publishers:
+            reason = f'claim "{claim.name}": kind: {claim.kind} needs fleet {{ publishers }}'
+            found.append((("claim", index, "kind"), reason))
         for claims, switch in _SWITCHES.items():
             if claim.kind in claims and not getattr(scenario.fleet, switch):
                 reason = f'claim "{claim.name}": kind: {claim.kind} needs fleet {{ {switch} = true }}'
@@ -80,7 +85,9 @@
     """Parts without the link that they ride on, and programs without gateways or channels."""
     fleet = scenario.fleet
     found: Faults = []
-    for switch in ("channels", "rollout", "atlas"):
+    if not all(matching((pattern,), scenario.gateways()) for pattern in fleet.publishers):
+        found.append((("fleet", "publishers"), "fleet: publishers: a word names no gateway"))
+    for switch in ("channels", "rollout", "atlas", "publishers"):
         if getattr(fleet, switch) and not fleet.peers:
             found.append((("fleet", switch), f"fleet: {switch}: needs peers = true"))
     for index, program in enumerate(scenario.program):
--- a/yardbank/rig/known.py
+++ b/yardbank/rig/known.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from yardbank.audit.changes import ON_NEW, ON_OLD, STOPPED
-from yardbank.audit.letters import items
+from yardbank.audit.letters import holdings, items
 
 Fact = dict[str, Any]
 # Log lines that become facts: under their own name, with these of their words.
@@ -22,6 +22,7 @@
     "map": ("from", "to", "ms", "how"),
     "hearsay": ("doubted",),
 }
+PUBLISHER = "list-publisher"  # the resource of its lease
 _CALLED = {"name": "channel"}  # in a fact
 
 
@@ -39,22 +40,32 @@
     def __init__(self) -> None:
         self.owners: dict[str, tuple[int, str]] = {}  # by channel: the highest epoch that crossed, and whose it is
         self.over: set[str] = set()
+        self.publisher = ""  # who last got the lease of the list's publisher
+        self._held: dict[str, tuple[Any, ...]] = {}  # by gateway: the version of the list that it last announced
         self._ends: dict[str, str] = {}  # by gateway: how a rollout ended for it: finished, stopped, withdrawn
         self._stages: set[int] = set()
 
     def crossed(self, source: str, target: str, data: bytes) -> tuple[list[Fact], list[str]]:
         """A datagram entered the way from one to another: facts and events."""
-        facts = [{**item, "sender": source, "to": target} for item in items(data)]
+        facts: list[Fact] = [{**item, "sender": source, "to": target} for item in items(data)]
         events = []
         for fact in facts:
             channel, epoch = fact["channel"], fact["epoch"]
             if source == fact["owner"] and epoch > self.owners.get(channel, (0, ""))[0]:
                 self.owners[channel] = epoch, source
                 events.append(f"owned:{channel}")
+        for fact in holdings(data):
+            what = fact["epoch"], fact["number"], fact["digest"]
+            if fact["gateway"] == source and self._held.get(source) != what:
+                self._held[source] = what
+                facts.append(fact)
         return facts, events
 
     def heard(self, fact: Fact) -> list[str]:
         """A gateway said this: events."""
+        if fact["kind"] == "lease" and fact["resource"] == PUBLISHER and fact["what"] == "owned":
+            self.publisher = fact["gateway"]
+            return ["publisher"]
         if fact["kind"] != "rollout":
             return []
         what, stage = fact["what"], fact.get("stage", 0)
@@ -76,6 +87,7 @@
     def names(self, words: Iterable[str]) -> list[str]:
         """Whom these words mean now."""
         found = [self.owners[word[6:]][1] for word in words if word.startswith("owner:") and word[6:] in self.owners]
+        found += [self.publisher] if "publisher" in words and self.publisher else []
         return found + (sorted(self.over) if "moved" in words else [])
 
     def settled(self, gateways: Iterable[str]) -> bool:
--- a/yardbank/rig/place.py
+++ b/yardbank/rig/place.py
@@ -14,7 +14,7 @@
 from yardbank.rig.changes import asking, changed, file_name, word
 from yardbank.rig.drive import DESK_DN, DESK_PASSWORD
 from yardbank.rig.load import DEADLINE, STALENESS
-from yardbank.rig.scenario import Fleet, Scenario, Step
+from yardbank.rig.scenario import Fleet, Scenario, Step, matching
 
 GATEWAY_DN, GATEWAY_PASSWORD = "cn=gateway,dc=porting", "gateway"
 _COLD_S, _COLD_SHARE = 4.0, 0.3  # as the stand-ins warm up
@@ -85,13 +85,22 @@
     """Blocks of what rides on the link between gateways."""
     lease = f'leases {{\n  term = "{fleet.term / 1e6:.0f}ms"\n  overlap = "{fleet.overlap / 1e6:.0f}ms"\n}}'
     return [
-        *([lease] if fleet.channels or fleet.rollout else []),
+        *([lease] if fleet.channels or fleet.rollout or fleet.publishers else []),
         *(["channels {\n  positions = true\n}"] if fleet.channels else []),
         *(['rollout {\n  file = "rollout.hcl"\n  young = "20s"\n  beat = "1s"\n}'] if fleet.rollout else []),
         *(['atlas {\n  life = "20s"\n  taken_up = "4s"\n}'] if fleet.atlas else []),
     ]
 
 
+def _distribution(scenario: Scenario, gateway: str) -> list[str]:
+    """The block of one that holds a copy of the published list, and may be one that publishes it."""
+    publishers = matching(scenario.fleet.publishers, scenario.gateways())
+    if not publishers:
+        return []
+    source = '\n  source = "source.hcl"' if gateway in publishers else ""
+    return [f'distribution {{\n  file = "distributed.hcl"{source}\n}}']
+
+
 def settings_text(scenario: Scenario, gateway: str, seed: int) -> str:
     """One gateway's settings. An older program's have no blocks that it does not know."""
     index = scenario.gateways().index(gateway)
@@ -108,6 +117,7 @@
         'membership {\n  path = "list.hcl"\n  patience = "50ms"\n  settle = "5ms"\n}',
         *([_PEERS % (gateway, period, period / 4)] if scenario.fleet.peers else []),
         *(_together(scenario.fleet) if gateway not in scenario.older() else []),
+        *_distribution(scenario, gateway),
         *(['state {\n  path = "state"\n}'] if scenario.fleet.durable else []),
         *(f'group "{group.name}" {{\n  suffix = "{group.suffix}"\n}}' for group in scenario.group),
         _CLASSES,
@@ -126,6 +136,17 @@
     return "\n\n".join(blocks) + "\n"
 
 
+def source_text(servers: Mapping[str, str], changes: Mapping[str, int]) -> str:
+    """The list to be published: servers and their groups; one that was changed n times has a weight that says so."""
+    blocks = [f"count = {len(servers)}"]
+    blocks += [
+        f'server "{name}" {{\n  group = "{group}"\n  address = "127.0.0.1"\n  port = {port}\n'
+        f"  weight = {1 + changes.get(name, 0) / 1000:.3f}\n}}"
+        for port, (name, group) in enumerate(servers.items(), 1024)
+    ]
+    return "\n\n".join(blocks) + "\n"
+
+
 def list_text(listed: Mapping[str, Listed], ports: Mapping[str, int]) -> str:
     """The list as one gateway is told it: servers are where its own relays are."""
     there = {name: one for name, one in listed.items() if one.state != "gone"}
@@ -151,6 +172,7 @@
         self.view = self.folder / "peers-view.json"
         self.log = self.folder / "log"
         self._store, self._kept = self.folder / "state", self.folder / "state-as-it-was"
+        self._source, self._copy = self.folder / "source.hcl", self.folder / "distributed.hcl"
         write_whole(self.folder / "peers.key", f"{seed:064x}\n")
         self.in_force = self.folder / "rollout-in-force.json"
         self._text = settings_text(scenario, name, seed)
@@ -164,6 +186,10 @@
         else:
             write_whole(self.folder / "rollout.hcl.word", word(step))
 
+    def publish(self, text: str) -> None:
+        """The list that this gateway is to publish, where it may."""
+        write_whole(self._source, text)
+
     def start_with(self, program: str) -> None:
         """The supervisor's worker is another program than the supervisor's own."""
         version = {"program": program}
@@ -187,8 +213,11 @@
         if how == "damaged":
             for data in self._databases():
                 data.write_bytes(b"\xa5" * data.stat().st_size)
+            if self._copy.exists():
+                self._copy.write_bytes(self._copy.read_bytes()[:-3])
         elif how == "lost":
             shutil.rmtree(self._store, ignore_errors=True)
+            self._copy.unlink(missing_ok=True)
         elif how == "old":  # the database alone: that somebody ran here before, a restored folder tells as well
             for data in self._kept.rglob("data.mdb"):
                 shutil.copy(data, self._store / data.relative_to(self._kept))
--- a/yardbank/rig/scenario.py
+++ b/yardbank/rig/scenario.py
@@ -71,13 +71,18 @@
         """What ``after`` and ``until`` may name beside steps."""
         found = {f"elected:{group.name}" for group in self.group}
         found |= {f"owned:{name}" for name in self.channels()} | {f"ready:{name}" for name in self.gateways()}
+        if self.fleet.publishers:
+            found.add("publisher")
         if self.fleet.rollout:
             found |= {f"stage:{number}" for number in range(1, MAX_STAGES + 1)} | {"went_over", "stopped"}
         return found
 
     def words(self) -> set[str]:
         """Words for gateways that are known only as the play goes: a channel's owner, those that went over."""
-        return {f"owner:{name}" for name in self.channels()} | ({"moved"} if self.fleet.rollout else set())
+        found = {f"owner:{name}" for name in self.channels()}
+        return (
+            found | ({"moved"} if self.fleet.rollout else set()) | ({"publisher"} if self.fleet.publishers else set())
+        )
 
 
 LABELS = {"program": "name", "clock": "gateway", "group": "name", "step": "name", "claim": "name"}
--- a/yardbank/rig/steps.py
+++ b/yardbank/rig/steps.py
@@ -15,6 +15,7 @@
 ROLLOUT = ("rollout", "withdraw", "stop_rollout")
 SERVER = ("crash", "hang", "slow", "full", "refuse", "lag", "hand_over", "lose_answers")
 LIST = ("tell", "hold")
+PUBLISH = ("publish",)  # servers get other entries in the list that is published
 CLIENT = ("leave",)
 _NEEDS = {"delay": "by", "throttle": "rate", "spoil": "share", "lose": "share", "double": "share", "reorder": "share",
           "leave": "share",
@@ -24,7 +25,7 @@
     "share": ("spoil", "lose", "double", "reorder", "leave"),
     "factor": ("slow", "lag"), "count": ("lose_answers",), "state": ("tell",), "store": ("kill", "terminate"),
     "how": ("cut",),
-    "oneway": NETWORK, "from": NETWORK, "to": NETWORK, "who": (*GATEWAY, *SERVER, *LIST, *ROLLOUT),
+    "oneway": NETWORK, "from": NETWORK, "to": NETWORK, "who": (*GATEWAY, *SERVER, *LIST, *ROLLOUT, *PUBLISH),
     "gateways": ("tell", "leave"), "late": ("tell",), "means": ("leave",),
     "rollout": ROLLOUT, "change": ("rollout",), "stages": ("rollout",), "hold": ("rollout",),
     "most": ("rollout",), "outage": ("rollout",), "longest": ("rollout",), "worse_by": ("rollout",),
@@ -38,7 +39,7 @@
     name: str
     do: Literal["cut", "delay", "throttle", "spoil", "lose", "double", "reorder", "kill", "pause", "terminate", "crash",
                 "hang", "slow", "full", "refuse", "lag", "hand_over", "lose_answers", "tell", "hold", "leave",
-                "rollout", "withdraw", "stop_rollout"]  # fmt: skip
+                "rollout", "withdraw", "stop_rollout", "publish"]  # fmt: skip
     at: Duration = 0  # from the load's beginning, or from what ``after`` names
     after: str = ""  # a step (when it is over) or an event such as "elected:GROUP"
     lasts: Duration = 0  # 0: for good, or until ``until``
@@ -83,7 +84,7 @@
                 raise ValueError(f'{field}: missing for do = "{self.do}"')
         if self.lasts and self.until:
             raise ValueError("lasts and until: one of both")
-        if self.do in ("hand_over", *ROLLOUT, *CLIENT) and (self.lasts or self.until):
+        if self.do in ("hand_over", *ROLLOUT, *CLIENT, *PUBLISH) and (self.lasts or self.until):
             raise ValueError(f"{self.do} does not last")
         return self
 
--- a/yardbank/rig/verdict.py
+++ b/yardbank/rig/verdict.py
@@ -10,6 +10,7 @@
 from yardbank.audit import changes, feeds, judge
 from yardbank.audit.claims import Finding, alive, belief, served, serves_again, unmoved, views
 from yardbank.audit.cold_sum import ColdBounds, cold_sum
+from yardbank.audit.distributed import distributed
 from yardbank.audit.gone import GoneBounds, gone_clients
 from yardbank.audit.judge import Bounds
 from yardbank.audit.record import Fact
@@ -90,6 +91,9 @@
     "cold_sum": lambda facts, claim, _: cold_sum(
         facts, ColdBounds(**_given(claim, "multiple", "window", "roots", "spare"))
     ),
+    "distributed": lambda facts, claim, s: distributed(
+        facts, s.gateways(), [step.name for step in s.step if step.do == "publish"], **_given(claim, "within")
+    ),
     "told": lambda facts, claim, _: told_in_time(facts, ToldBounds(**_given(claim, "bound", "grace"))),
     "map": lambda facts, claim, s: charted(facts, _zones(s), claim.share, claim.within / 1e6),
 }
