--- a/benchmarks/kills.py
+++ b/benchmarks/kills.py
@@ -75,8 +75,7 @@
     yield sleep(0.5)
     for session in sessions:
         session.end()
-    for one in lives:
-        yield one
+    yield from lives
     yield world.stop_gateway()
 
 
--- a/benchmarks/plan.py
+++ b/benchmarks/plan.py
@@ -182,8 +182,7 @@
             yield deferLater(reactor, wait, lambda: None)
         request = m.SearchRequest(f"cn={chance.randrange(20)},ou=numbers,dc=porting", 0, m.Present("cn"))
         waiting.append(chance.choice(clients).request(request).addCallback(done, at))
-    for one in waiting:
-        yield one
+    yield from waiting
     ordered = sorted(times)
     served = len([t for t in times if t < 0.5]) / (len(times) + bad[0])
     rows.append(["by the plan" if planned else "equal", f"{rate:.0f}", f"{served:.1%}",
--- a/benchmarks/spread.py
+++ b/benchmarks/spread.py
@@ -37,7 +37,7 @@
 
     first_at = 0.0
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         super().dataReceived(data)
         if not self.first_at and any(asked.answer.entries for asked in self._asked.values()):
             self.first_at = time.perf_counter()
--- a/tests/drawn_play.py
+++ b/tests/drawn_play.py
@@ -41,7 +41,7 @@
         super().__init__()
         self.socket = Silent()
 
-    def setTcpNoDelay(self, on):
+    def setTcpNoDelay(self, on):  # noqa: N802
         pass
 
     def take(self):
@@ -57,7 +57,7 @@
         super().__init__()
         self.dials = []
 
-    def connectTCP(self, host, port, factory, timeout=30):
+    def connectTCP(self, host, port, factory, timeout=30):  # noqa: N802
         made = SimpleNamespace(state="connecting", transport=None, port=port, factory=factory)
         made.disconnect = lambda: setattr(made, "state", "disconnected")
         self.dials.append(made)
--- a/tests/test_atlas.py
+++ b/tests/test_atlas.py
@@ -11,7 +11,7 @@
 from yardbank.atlas.letter import Entry
 from yardbank.atlas.levels import Level, Levels
 from yardbank.atlas.options import LEAST, MAX_ZONES, MOST, SECOND, Options
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 
 MS = 1_000_000
 OPTIONS = Options()
@@ -47,7 +47,7 @@
 def test_whatever_comes_in_is_taken_whole_or_dropped_and_no_figure_is_odd(body):
     try:
         told = letter.decode(body, KNOWN)
-    except Dropped as problem:
+    except DroppedError as problem:
         assert problem.reason in ("shape", "kind")
     else:
         assert all(LEAST <= entry.value <= MOST and entry.age >= 0 for _, row in told.rows for entry in row.values())
@@ -56,9 +56,9 @@
 def test_a_letter_of_a_later_program_is_read_and_one_too_large_is_not():
     body = msgspec.msgpack.decode(letter.encode(1, WELL, [("z0", {"z1": Entry(MS, 0, 0, 1)})]))
     assert letter.decode(msgspec.msgpack.encode([*body, "more", 7]), KNOWN).rows[0][0] == "z0"
-    with pytest.raises(Dropped, match="kind"):
+    with pytest.raises(DroppedError, match="kind"):
         letter.decode(msgspec.msgpack.encode([2, *body[1:]]), KNOWN)
-    with pytest.raises(Dropped, match="shape"):
+    with pytest.raises(DroppedError, match="shape"):
         letter.decode(
             msgspec.msgpack.encode([1, 1, 0, bytes(4 * (MAX_ZONES + 1)), bytes(1 + 4 * (MAX_ZONES + 1))]), KNOWN
         )
--- a/tests/test_channels_faults.py
+++ b/tests/test_channels_faults.py
@@ -10,7 +10,7 @@
 from yardbank.channels import wire
 from yardbank.channels.api import Delivered, resource
 from yardbank.channels.states import HANDING
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 from yardbank.rig.wire import Effect
 
 
@@ -190,7 +190,7 @@
     before = part.feed.known["notices-0"].epoch, part.members.changes
     try:
         part.receive(found.circles.own("g0"), "g1", 1, body)
-    except Dropped:
+    except DroppedError:
         pass
     assert (part.feed.known["notices-0"].epoch, part.members.changes) == before
     assert resource("notices-0") == "channel/notices-0"
--- a/tests/test_crossings_writes.py
+++ b/tests/test_crossings_writes.py
@@ -27,7 +27,7 @@
         self.addReader, self.addWriter = self.readers.add, self.writers.add
         self.removeReader, self.removeWriter = self.readers.discard, self.writers.discard
 
-    def callLater(self, delay, call, *args):
+    def callLater(self, delay, call, *args):  # noqa: N802
         return SimpleNamespace(cancel=lambda: None, active=lambda: False)
 
 
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -12,7 +12,7 @@
 from yardbank.distribution.table import DoesNotFitError, Entry, Table
 from yardbank.distribution.transfer import Assembly, joined, split
 from yardbank.distribution.version import EMPTY_DIGEST, NOTHING, Version
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 
 KEYS, VALUES = st.sampled_from("abcdef"), st.text(max_size=8)
 LISTS = st.lists(st.dictionaries(KEYS, VALUES, max_size=6), min_size=1, max_size=8)
@@ -126,7 +126,7 @@
 def test_whatever_octets_come_a_message_is_sound_or_dropped(octets):
     try:
         found = decode(octets)
-    except Dropped as problem:
+    except DroppedError as problem:
         assert problem.reason in ("shape", "range")
     else:
         assert decode(encode(found)) == found
@@ -143,7 +143,7 @@
     ],
 )  # fmt: skip
 def test_a_message_beyond_its_bounds_is_dropped(message):
-    with pytest.raises(Dropped) as caught:
+    with pytest.raises(DroppedError) as caught:
         decode(encode(message))
     assert caught.value.reason == "range"
 
--- a/tests/test_gateway_faults.py
+++ b/tests/test_gateway_faults.py
@@ -76,11 +76,11 @@
     triggers = []
 
     class Host(Clock):
-        def addSystemEventTrigger(self, *args):
+        def addSystemEventTrigger(self, *args):  # noqa: N802
             triggers.append(args)
             return len(triggers)
 
-        def removeSystemEventTrigger(self, number):
+        def removeSystemEventTrigger(self, number):  # noqa: N802
             pass
 
     host = Host()
--- a/tests/test_grants_lists.py
+++ b/tests/test_grants_lists.py
@@ -11,7 +11,7 @@
 from yardbank.lease.places import majority, voters_of
 from yardbank.lease.times import long_lease
 from yardbank.lease.words import Ask, Hello, Word, decode, encode
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 
 
 @settings(max_examples=40, deadline=None, derandomize=True)
@@ -44,7 +44,7 @@
     for body in (data, bytes(spoilt), encode(sound)[: at % 40]):
         try:
             part.receive(10**12, "b", 1, body)
-        except Dropped:
+        except DroppedError:
             pass
         for letter in part.letters():
             assert isinstance(decode(letter.body), Word)
--- a/tests/test_parcels.py
+++ b/tests/test_parcels.py
@@ -10,7 +10,7 @@
 
 from yardbank.peers import datagram, parcel
 from yardbank.peers.circle import Circle
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 from yardbank.peers.keeping import FileKeep
 from yardbank.peers.parcel import Item, Parcel
 from yardbank.peers.parts import Letter
@@ -33,7 +33,7 @@
 
     def receive(self, now, sender, life, body):
         if body == b"odd":
-            raise Dropped("shape")
+            raise DroppedError("shape")
         self.heard.append((sender, body))
         if body == b"ask":
             self.out.append(Letter(sender, b"answer"))
@@ -66,9 +66,9 @@
 def test_a_parcel_spoilt_in_any_octet_is_dropped_whole():
     data = parcel.encode(Parcel("porting", "g1", 7, 8, (Item("echo", b"x"),)), [KEY])
     for at in range(len(data)):
-        with pytest.raises(Dropped):
+        with pytest.raises(DroppedError):
             parcel.decode(data[:at] + bytes((data[at] ^ 1,)) + data[at + 1 :], [KEY], "porting")
-    with pytest.raises(Dropped, match="version"):  # as a program from before parcels takes it
+    with pytest.raises(DroppedError, match="version"):  # as a program from before parcels takes it
         datagram.decode(data, [KEY], "porting")
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,7 +14,7 @@
     SUSPECT,
     Count,
     Datagram,
-    Dropped,
+    DroppedError,
     News,
     Replays,
     decode,
@@ -101,7 +101,7 @@
     data = encode(PLAIN, [KEY])
     for spoilt, reason in ((data[:2] + b"\x02" + data[3:], "version"), (b"zz" + data[2:], "magic"),
                            (encode(PLAIN, [OTHER]), "digest"), (data + bytes(1200), "size")):  # fmt: skip
-        with pytest.raises(Dropped, match=reason):
+        with pytest.raises(DroppedError, match=reason):
             decode(spoilt, [KEY], FLEET)
     with pytest.raises(ValueError, match="1200 allowed"):
         encode(
@@ -149,7 +149,7 @@
     for life, sequence in arrivals:
         try:
             replays.take("g1", life, sequence)
-        except Dropped:
+        except DroppedError:
             newest = max((s for w, s in taken if w == life), default=0)
             assert (life, sequence) in taken or life < highest or newest - sequence >= wire.WINDOW
         else:
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -19,7 +19,7 @@
         super().__init__()
         self.begun, self.cut = [], set()  # when, to a tenth of a second; whose connector was called off
 
-    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):
+    def connectTCP(self, host, port, factory, timeout=30, bindAddress=None):  # noqa: N802, N803
         connector = super().connectTCP(host, port, factory, timeout, bindAddress)
         number = len(self.begun)
         connector.disconnect = lambda: self.cut.add(number)
--- a/tests/test_rollout_liars.py
+++ b/tests/test_rollout_liars.py
@@ -8,7 +8,7 @@
 from tests.rollout_world import SECOND, Kind, change
 from tests.test_rollout_faults import moved
 from tests.test_rollout_fleet import LOOKUP, begun, worse
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 from yardbank.rollout.book import Book
 from yardbank.rollout.place import FELL, NEW
 from yardbank.rollout.said import Cell, Said, encoded, letter, records
@@ -82,13 +82,13 @@
     for odd in (b"", b"\xc1", msgspec.msgpack.encode([]), letter([encoded(msgspec.structs.replace(plain, life=0))]),
                 letter([encoded(msgspec.structs.replace(plain, stop="x" * 99))]),
                 letter([encoded(msgspec.structs.replace(plain, cells=plain.cells * 2))])):  # fmt: skip
-        with pytest.raises(Dropped):
+        with pytest.raises(DroppedError):
             records(odd)
     data = letter([encoded(plain)])
     for at in range(len(data)):
         try:
             records(data[:at])
-        except Dropped:
+        except DroppedError:
             continue
         raise AssertionError(at)
 
--- a/yardbank/atlas/letter.py
+++ b/yardbank/atlas/letter.py
@@ -17,7 +17,7 @@
 
 from yardbank.atlas.firsthand import NAMES
 from yardbank.atlas.options import LEAST, MAX_ZONES, MOST, SECOND
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 
 KIND = 1  # rows of the map
 NOTHING = 0
@@ -100,24 +100,24 @@
 
 
 def decode(body: bytes, known: Mapping[bytes, str]) -> Told:
-    """Read it, with zones by digest. Raises ``Dropped`` with a reason."""
+    """Read it, with zones by digest. Raises ``DroppedError`` with a reason."""
     try:
         found = _decoder.decode(body)
     except (msgspec.DecodeError, RecursionError):
-        raise Dropped("shape") from None
+        raise DroppedError("shape") from None
     if found.kind != KIND:
-        raise Dropped("kind")
+        raise DroppedError("kind")
     count, odd = divmod(len(found.table), DIGEST)
     length = 1 + count * ENTRY.size
     sound = not odd and 0 < count <= MAX_ZONES and found.rows and not len(found.rows) % length
     if not (sound and len(found.rows) // length <= MAX_ZONES and found.state in NAMES and 0 <= found.number < 1 << 62):
-        raise Dropped("shape")
+        raise DroppedError("shape")
     zones = [known.get(found.table[at : at + DIGEST]) for at in range(0, len(found.table), DIGEST)]
     rows: list[tuple[str, Row]] = []
     own = None
     for at in range(0, len(found.rows), length):
         if (index := found.rows[at]) >= count:
-            raise Dropped("shape")
+            raise DroppedError("shape")
         zone = zones[index]
         if at == 0:
             own = zone
--- a/yardbank/atlas/part.py
+++ b/yardbank/atlas/part.py
@@ -17,7 +17,7 @@
 from yardbank.atlas.letter import Entry
 from yardbank.atlas.levels import SEEN, Levels, Turn
 from yardbank.atlas.options import MAX_ZONES, SECOND, Options, Pair, pair_of
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 from yardbank.peers.parts import Letter, Sight
 
 MS = 1_000_000
@@ -106,15 +106,15 @@
         self.claims.keep(lambda pair, name, claim: pair in kept)
 
     def receive(self, now: int, sender: str, life: int, body: bytes) -> None:
-        """A peer's rows. Raises ``Dropped``."""
+        """A peer's rows. Raises ``DroppedError``."""
         if self._late(now):
-            raise Dropped("late")  # it waited here while this gateway was stopped: its ages are wrong
+            raise DroppedError("late")  # it waited here while this gateway was stopped: its ages are wrong
         if life < self._lives.get(sender, 0):
-            raise Dropped("old")
+            raise DroppedError("old")
         zone = self._sight.zones().get(sender)
         told = letter.decode(body, self._known)
         if zone is None or told.own != zone:
-            raise Dropped("zone")  # our lists differ: what it saw belongs elsewhere
+            raise DroppedError("zone")  # our lists differ: what it saw belongs elsewhere
         if life > self._lives.get(sender, 0):
             self._lives[sender] = life
             self.claims.keep(lambda pair, name, claim: name != sender)  # what an earlier start saw is its own no more
--- a/yardbank/audit/frames.py
+++ b/yardbank/audit/frames.py
@@ -23,7 +23,7 @@
     target: int = 0  # of "abandon": the number of the message that it ends
 
 
-class Garbled(ValueError):
+class GarbledError(ValueError):
     """Octets that are no message."""
 
 
@@ -48,21 +48,21 @@
                 frame, self._rest = self._rest[:whole], self._rest[whole:]
                 found.append(_message(self._began, frame))
                 self._began = at  # the next one's first octet came with this piece
-        except ValueError:  # Garbled, or fewer elements than a message has
+        except ValueError:  # GarbledError, or fewer elements than a message has
             self.garbled, self._rest = True, b""
         return found
 
 
 def _whole(data: bytes) -> int | None:
-    """How many octets the first message has; None: not all are there. Raises ``Garbled``."""
+    """How many octets the first message has; None: not all are there. Raises ``GarbledError``."""
     if data[:1] and data[0] != _SEQUENCE:
-        raise Garbled("not a message")
+        raise GarbledError("not a message")
     header = _header(data, 0)
     if header is None:
         return None
     start, length = header
     if start + length > MAX_MESSAGE:
-        raise Garbled("too long")
+        raise GarbledError("too long")
     return start + length if len(data) >= start + length else None
 
 
@@ -75,19 +75,19 @@
         return at + 2, first
     count = first & 0x7F
     if not 1 <= count <= 4:
-        raise Garbled("a length that messages do not have")
+        raise GarbledError("a length that messages do not have")
     if len(data) < at + 2 + count:
         return None
     return at + 2 + count, int.from_bytes(data[at + 2 : at + 2 + count], "big")
 
 
 def _elements(data: bytes) -> list[tuple[int, bytes]]:
-    """Tag and value of each element in a row. Raises ``Garbled``."""
+    """Tag and value of each element in a row. Raises ``GarbledError``."""
     found, at = [], 0
     while at < len(data):
         header = _header(data, at)
         if header is None or sum(header) > len(data):
-            raise Garbled("cut short")
+            raise GarbledError("cut short")
         found.append((data[at], data[header[0] : sum(header)]))
         at = sum(header)
     return found
@@ -97,7 +97,7 @@
     (_, inside), *_ = _elements(frame)
     number, operation, *more = _elements(inside)
     if number[0] != _INTEGER or not number[1]:
-        raise Garbled("no number")
+        raise GarbledError("no number")
     if operation[0] == ABANDON:
         return Message(at, int.from_bytes(number[1], "big"), "abandon", target=int.from_bytes(operation[1], "big"))
     tag = next((_tag(value) for kind, value in more if kind == _CONTROLS), "")
--- a/yardbank/channels/feed.py
+++ b/yardbank/channels/feed.py
@@ -12,7 +12,7 @@
 from yardbank.channels.items import Recent, Stream
 from yardbank.channels.outgoing import Carried, Known, Outgoing
 from yardbank.channels.wire import Again, EndedAt, Have, Item, State
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 from yardbank.peers.parts import Letter
 
 LEAP = 1 << 20  # so far beyond what is known, a sequence is not believed
@@ -83,13 +83,13 @@
     # What others say
 
     def item(self, now: int, sender: str, item: Item) -> None:
-        """One came: kept, delivered in its turn, handed on if it is new. Raises ``Dropped``."""
+        """One came: kept, delivered in its turn, handed on if it is new. Raises ``DroppedError``."""
         if (stream := self.streams.get(item.channel)) is None:
-            raise Dropped("unasked")
+            raise DroppedError("unasked")
         known = self.known.get(item.channel)
         if item.sequence < 1 or self._leaps(known, item.epoch, item.sequence):
             self.odd += 1
-            raise Dropped("leap")
+            raise DroppedError("leap")
         self.edges.heard(now, item.channel, sender)
         if known is None or item.epoch > known.epoch:
             self.known[item.channel] = Known(item.epoch, item.sequence, item.owner, item.life, now, item.after)
--- a/yardbank/channels/part.py
+++ b/yardbank/channels/part.py
@@ -130,7 +130,7 @@
         self._look_around(now)
 
     def receive(self, now: int, sender: str, life: int, body: bytes) -> None:
-        """A letter. Raises ``Dropped``."""
+        """A letter. Raises ``DroppedError``."""
         self._now = now
         match message := wire.decode(body):
             case Item():
--- a/yardbank/channels/wire.py
+++ b/yardbank/channels/wire.py
@@ -9,7 +9,7 @@
 from msgspec import Meta, Struct
 
 from yardbank.channels.api import MAX_DATA
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 
 LETTER = 900  # octets of a letter with many entries, about
 Entry = TypeVar("Entry")
@@ -134,11 +134,11 @@
 
 
 def decode(body: bytes) -> Message:
-    """What it says. Raises ``Dropped``."""
+    """What it says. Raises ``DroppedError``."""
     try:
         return _decoder.decode(body)
     except msgspec.DecodeError:
-        raise Dropped("shape") from None
+        raise DroppedError("shape") from None
 
 
 def beats(states: Iterable[State]) -> list[bytes]:
--- a/yardbank/daemon/keeper.py
+++ b/yardbank/daemon/keeper.py
@@ -24,7 +24,7 @@
     def __init__(self, keeper: Keeper) -> None:
         self._keeper = keeper
 
-    def processEnded(self, reason: Any) -> None:
+    def processEnded(self, reason: Any) -> None:  # noqa: N802
         self._keeper.ended(reason.value.exitCode, reason.value.signal)
 
 
--- a/yardbank/daemon/supervisor.py
+++ b/yardbank/daemon/supervisor.py
@@ -18,7 +18,7 @@
     def __init__(self, supervisor: Supervisor, number: int) -> None:
         self._supervisor, self._number = supervisor, number
 
-    def processEnded(self, reason: Any) -> None:
+    def processEnded(self, reason: Any) -> None:  # noqa: N802
         self._supervisor.ended(self._number, reason.value.exitCode, reason.value.signal)
 
 
--- a/yardbank/daemon/worker.py
+++ b/yardbank/daemon/worker.py
@@ -55,15 +55,15 @@
         """See ``IFileDescriptor``."""
         return self._descriptor
 
-    def logPrefix(self) -> str:
+    def logPrefix(self) -> str:  # noqa: N802
         """See ``ILoggingContext``."""
         return "keeper"
 
-    def doRead(self) -> Any:
+    def doRead(self) -> Any:  # noqa: N802
         """Nothing is ever written to it: what can be read is its end."""
         return None if os.read(self._descriptor, 4096) else ConnectionDone()
 
-    def connectionLost(self, reason: Any) -> None:
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """It has ended."""
         self._tell()
 
--- a/yardbank/directory/naming.py
+++ b/yardbank/directory/naming.py
@@ -24,4 +24,4 @@
 
 def under(folded: str, base: str) -> bool:
     """Whether a folded name is a folded base or lies below it."""
-    return base == "" or folded == base or folded.endswith("," + base)
+    return base in ("", folded) or folded.endswith("," + base)
--- a/yardbank/distribution/messages.py
+++ b/yardbank/distribution/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from yardbank.distribution.version import DIGEST_OCTETS, Version
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 
 MAX_PIECE = 900  # octets of a document in one message: with all that stands around it, it fits a datagram
 MAX_PIECES = 4096  # of one document
@@ -51,13 +51,13 @@
 
 
 def decode(body: bytes) -> Message:
-    """A message that came. Raises ``Dropped`` naming the reason."""
+    """A message that came. Raises ``DroppedError`` naming the reason."""
     try:
         found = _decoder.decode(body)
     except (msgspec.DecodeError, ValueError):
-        raise Dropped("shape") from None
+        raise DroppedError("shape") from None
     if not _sound(found):
-        raise Dropped("range")
+        raise DroppedError("range")
     return found
 
 
--- a/yardbank/distribution/part.py
+++ b/yardbank/distribution/part.py
@@ -58,7 +58,7 @@
         self._look_around()
 
     def receive(self, now: int, sender: str, life: int, body: bytes) -> None:
-        """A message of a peer. Raises ``Dropped`` on one that cannot be read."""
+        """A message of a peer. Raises ``DroppedError`` on one that cannot be read."""
         self.replica.receive(now, sender, decode(body))
         self._tell_epoch(now)
 
--- a/yardbank/gateway/dial.py
+++ b/yardbank/gateway/dial.py
@@ -28,13 +28,13 @@
     def __init__(self, make: Callable[[], Protocol], lost: Lost) -> None:
         self._make, self._lost = make, lost
 
-    def buildProtocol(self, addr: Any) -> Any:
+    def buildProtocol(self, addr: Any) -> Any:  # noqa: N802
         return self._make()
 
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
         self._lost(why_not(reason))
 
-    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:
+    def clientConnectionLost(self, connector: Any, reason: Failure) -> None:  # noqa: N802
         """Connector and transport point at each other: parted, they go at once, without the collector."""
         connector.transport = None
 
--- a/yardbank/lab/day.py
+++ b/yardbank/lab/day.py
@@ -110,8 +110,7 @@
                 if answer.code == Code.SUCCESS:
                     yield self.sleep(self.random.expovariate(1 / 0.2))
                     pair = [self.status(), self.lookup()] if self.client and not self.client.gone else []
-                    for waiting in pair:
-                        yield waiting
+                    yield from pair
             if answer.code not in (LOST, Code.SUCCESS):
                 yield self.sleep(0.05)
             yield self.sleep(self.random.expovariate(1 / self.pace))
@@ -233,6 +232,5 @@
         yield deferLater(reactor, max(0.0, wait), lambda: None)
         for session in self.sessions:
             session.end()
-        for life in lives:
-            yield life
+        yield from lives
         yield self.world.stop_gateway()
--- a/yardbank/ldap/backend.py
+++ b/yardbank/ldap/backend.py
@@ -80,7 +80,7 @@
         self._binding: int | None = None
         self._reason = ""
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         """Bind, or be ready at once."""
         assert self.transport is not None
         if hasattr(self.transport, "setTcpNoDelay"):
@@ -92,7 +92,7 @@
         self._binding, data = self._end.ask(codec.encode_operation(request), m.Tag.BIND)
         self.transport.write(data)
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Answers, in any split."""
         try:
             for event in self._end.receive(data):
@@ -129,7 +129,7 @@
             else:
                 receiver.attempt_part(event.raw, len(event.raw.operation) + len(event.raw.controls))
 
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         """All that is out is lost with it."""
         why = self._reason or reason.getErrorMessage()
         exchanges, self._exchanges = self._exchanges, {}
--- a/yardbank/ldap/front.py
+++ b/yardbank/ldap/front.py
@@ -110,7 +110,7 @@
 
     # The transport's side
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         """Count it, and ask to be told when the client does not read."""
         assert self.transport is not None
         if hasattr(self.transport, "setTcpNoDelay"):
@@ -118,19 +118,19 @@
         self.transport.registerProducer(self, True)
         self._factory.clients[self] = None
 
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         """The client left: nothing more is owed."""
         self._factory.left(self)
         self._drop()
 
-    def pauseProducing(self) -> None:
+    def pauseProducing(self) -> None:  # noqa: N802
         """The client does not read: take nothing more from it."""
         if self._unread is None:  # the transport says so again at each write
             self._unread = 0
         if self.transport is not None:
             self.transport.pauseProducing()
 
-    def resumeProducing(self) -> None:
+    def resumeProducing(self) -> None:  # noqa: N802
         """It reads again."""
         self._unread = None
         if self.transport is not None and not self._closing:
@@ -139,7 +139,7 @@
             self._fan.pump()
         self._take_up()
 
-    def stopProducing(self) -> None:
+    def stopProducing(self) -> None:  # noqa: N802
         """The connection is over."""
         self._drop()
 
@@ -408,7 +408,7 @@
         self._closing: Deferred[None] | None = None
         self._numbers = count(1)
 
-    def buildProtocol(self, addr: Any) -> LdapFront | None:
+    def buildProtocol(self, addr: Any) -> LdapFront | None:  # noqa: N802
         """A front for a new client, unless the bound is reached."""
         if len(self.clients) >= self.options.max_connections:
             self.log.warning("client_connections_bound", bound=self.options.max_connections)
--- a/yardbank/ldap/intake.py
+++ b/yardbank/ldap/intake.py
@@ -36,7 +36,7 @@
         self._closing = False
         self._gone = False  # the client's end has been read
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Requests, in any split."""
         for event in self._end.receive(data):
             match event:
--- a/yardbank/lease/words.py
+++ b/yardbank/lease/words.py
@@ -11,7 +11,7 @@
 import msgspec
 from msgspec import Meta
 
-from yardbank.peers.datagram import MAX_NAME, Dropped
+from yardbank.peers.datagram import MAX_NAME, DroppedError
 
 MAX_RESOURCE = 128
 MAX_EPOCH = (1 << 63) - 1
@@ -112,8 +112,8 @@
 
 
 def decode(body: bytes) -> Word:
-    """A letter's word. Raises ``Dropped``."""
+    """A letter's word. Raises ``DroppedError``."""
     try:
         return _decoder.decode(body)
     except msgspec.DecodeError:
-        raise Dropped("shape") from None
+        raise DroppedError("shape") from None
--- a/yardbank/peers/circle.py
+++ b/yardbank/peers/circle.py
@@ -16,7 +16,7 @@
 
 from yardbank.peers import datagram as wire
 from yardbank.peers import parcel
-from yardbank.peers.datagram import ACK, ALIVE, PING, Datagram, Dropped, News, Replays
+from yardbank.peers.datagram import ACK, ALIVE, PING, Datagram, DroppedError, News, Replays
 from yardbank.peers.detector import NAMES, Change, Detector, Out, Pace
 from yardbank.peers.evidence import Evidence
 from yardbank.peers.parcel import Item, Parcel
@@ -120,9 +120,9 @@
         try:
             found = wire.decode(data, self.keys, self.fleet)
             if found.sender == self.name or found.sender not in self.detector.peers:
-                raise Dropped("stranger")  # the list says who is a peer; two of one name are seen here too
+                raise DroppedError("stranger")  # the list says who is a peer; two of one name are seen here too
             self._replays.take(found.sender, found.life, found.sequence)
-        except Dropped as problem:
+        except DroppedError as problem:
             self.dropped[problem.reason] += 1
             return []
         if found.kind == ACK and (ping := self._pings.get(found.number)) and ping[0] == found.sender:
@@ -141,9 +141,9 @@
         try:
             found = parcel.decode(data, self.keys, self.fleet)
             if found.sender == self.name or found.sender not in self.detector.peers:
-                raise Dropped("stranger")
+                raise DroppedError("stranger")
             self._replays.take(found.sender, found.life, found.sequence)
-        except Dropped as problem:
+        except DroppedError as problem:
             self.dropped[problem.reason] += 1
             return
         self.post.take(now, found, self.dropped)
--- a/yardbank/peers/datagram.py
+++ b/yardbank/peers/datagram.py
@@ -74,7 +74,7 @@
     words: tuple[Word, ...] = ()
 
 
-class Dropped(Exception):
+class DroppedError(Exception):
     """A datagram that is not taken; ``reason`` is one of ``REASONS``."""
 
     def __init__(self, reason: str) -> None:
@@ -120,16 +120,16 @@
 
 
 def open_sealed(data: bytes, version: int, keys: Sequence[bytes]) -> bytes:
-    """The body of a datagram sealed with one of the keys. Raises ``Dropped``."""
+    """The body of a datagram sealed with one of the keys. Raises ``DroppedError``."""
     if not HEAD < len(data) <= MAX_OCTETS:
-        raise Dropped("size")
+        raise DroppedError("size")
     if data[:2] != MAGIC:
-        raise Dropped("magic")
+        raise DroppedError("magic")
     if data[2] != version:  # an older or newer program in the same fleet: not ours to read
-        raise Dropped("version")
+        raise DroppedError("version")
     body = data[HEAD:]
     if not any(compare_digest(data[3:HEAD], _digest(key, version, body)) for key in keys):
-        raise Dropped("digest")
+        raise DroppedError("digest")
     return body
 
 
@@ -147,14 +147,14 @@
 
 
 def decode(data: bytes, keys: Sequence[bytes], fleet: str) -> Datagram:
-    """A datagram that was sent by one who has a key. Raises ``Dropped``."""
+    """A datagram that was sent by one who has a key. Raises ``DroppedError``."""
     body = open_sealed(data, VERSION, keys)
     try:
         found = _decoder.decode(body)
     except msgspec.DecodeError:
-        raise Dropped("shape") from None
+        raise DroppedError("shape") from None
     if found.fleet != fleet:
-        raise Dropped("fleet")
+        raise DroppedError("fleet")
     numbers = [found.life, found.incarnation, *(news.incarnation for news in found.news)]
     sound = all(0 < number <= MAX_INCARNATION for number in numbers) and 0 < found.sequence < 1 << 62
     sound = sound and found.life <= found.incarnation
@@ -165,7 +165,7 @@
     names += [one.key for one in found.counts] + [name for word in found.words for name in (word.witness, word.server)]
     sound = sound and all(len(name) <= MAX_NAME for name in names)
     if not sound or not all(0 < c.version < 1 << 62 and 0 <= c.value < 1 << 62 for c in found.counts):
-        raise Dropped("shape")
+        raise DroppedError("shape")
     return found
 
 
@@ -181,10 +181,10 @@
         self._seen: dict[str, tuple[int, int, int]] = {}  # by sender: life, highest sequence, bits below it
 
     def take(self, sender: str, life: int, sequence: int) -> None:
-        """Raises ``Dropped`` for one that was taken before, or is too old to tell."""
+        """Raises ``DroppedError`` for one that was taken before, or is too old to tell."""
         known, highest, bits = self._seen.get(sender, (0, 0, 0))
         if life < known:
-            raise Dropped("old")
+            raise DroppedError("old")
         if life > known:
             highest, bits = 0, 0
         if sequence > highest:
@@ -193,7 +193,7 @@
         else:
             bit = 1 << (highest - sequence) if highest - sequence < WINDOW else 0
             if not bit or bits & bit:
-                raise Dropped("old")
+                raise DroppedError("old")
             bits |= bit
         self._seen[sender] = life, highest, bits
 
--- a/yardbank/peers/parcel.py
+++ b/yardbank/peers/parcel.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from yardbank.peers.datagram import HEAD, MAX_INCARNATION, MAX_NAME, MAX_OCTETS, Dropped, open_sealed, seal
+from yardbank.peers.datagram import HEAD, MAX_INCARNATION, MAX_NAME, MAX_OCTETS, DroppedError, open_sealed, seal
 
 VERSION = 2
 MAX_TOPIC = 16
@@ -70,16 +70,16 @@
 
 
 def decode(data: bytes, keys: Sequence[bytes], fleet: str) -> Parcel:
-    """A datagram that was sent by one who has a key. Raises ``Dropped``."""
+    """A datagram that was sent by one who has a key. Raises ``DroppedError``."""
     body = open_sealed(data, VERSION, keys)
     try:
         found = _decoder.decode(body)
     except msgspec.DecodeError:
-        raise Dropped("shape") from None
+        raise DroppedError("shape") from None
     if found.fleet != fleet:
-        raise Dropped("fleet")
+        raise DroppedError("fleet")
     sound = 0 < found.life <= MAX_INCARNATION and 0 < found.sequence < 1 << 62
     sound = sound and len(found.sender) <= MAX_NAME and len(found.items) <= MAX_ITEMS
     if not sound or not all(0 < len(item.topic) <= MAX_TOPIC for item in found.items):
-        raise Dropped("shape")
+        raise DroppedError("shape")
     return found
--- a/yardbank/peers/parts.py
+++ b/yardbank/peers/parts.py
@@ -64,7 +64,7 @@
         """The list has changed: ``Sight`` tells the new one."""
 
     def receive(self, now: int, sender: str, life: int, body: bytes) -> None:
-        """A letter of a peer of the list. May come twice, late, in any order. Raises ``Dropped`` on odd ones."""
+        """A letter of a peer of the list. May come twice, late, in any order. Raises ``DroppedError`` on odd ones."""
 
     def tick(self, now: int) -> None:
         """Time has passed; may be called before it is due."""
--- a/yardbank/peers/post.py
+++ b/yardbank/peers/post.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection
 
 from yardbank.peers import parcel
-from yardbank.peers.datagram import Dropped
+from yardbank.peers.datagram import DroppedError
 from yardbank.peers.parcel import Item, Parcel
 from yardbank.peers.parts import Part
 
@@ -59,7 +59,7 @@
                 continue
             try:
                 part.receive(now, found.sender, found.life, item.body)
-            except Dropped as problem:
+            except DroppedError as problem:
                 dropped[f"{item.topic} {problem.reason}"] += 1
 
     def out(
--- a/yardbank/peers/shell.py
+++ b/yardbank/peers/shell.py
@@ -132,14 +132,14 @@
         else:
             self._log.info("peers_keys", count=len(self.circle.keys))
 
-    def datagramReceived(self, datagram: bytes, addr: Any) -> None:
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         """Whoever sent it, answers go where the list says."""
         now = self._now()
         self._send(self.circle.receive(now, datagram))
         if now - self._judged_at >= JUDGE_EVERY:
             self._judge(now)
 
-    def connectionRefused(self) -> None:
+    def connectionRefused(self) -> None:  # noqa: N802
         """Nobody listens there now."""
 
     def prompt(self) -> None:
--- a/yardbank/plan/solver.py
+++ b/yardbank/plan/solver.py
@@ -24,7 +24,7 @@
 TOLERANCE = 1e-9  # of the largest rate: what a later aim may cost an earlier one
 
 
-class PlanFault(ArithmeticError):
+class PlanFaultError(ArithmeticError):
     """A plan that breaks a limit was found and refused: an error of the program, never of the input."""
 
 
@@ -205,7 +205,7 @@
 
 
 def solve(problem: Problem, seconds: float = 0.0) -> Plan:
-    """The plan, group by group. Raises ``PlanFault`` if what was found breaks a limit.
+    """The plan, group by group. Raises ``PlanFaultError`` if what was found breaks a limit.
 
     ``seconds`` bounds each program (0: none); what was not proved in time is a plan within all limits all the same.
     """
@@ -231,7 +231,7 @@
     if plan.conflicts:
         return Plan(conflicts=plan.conflicts)
     if broken := broken_limits(problem, plan.shares):
-        raise PlanFault("; ".join(broken[:5]))
+        raise PlanFaultError("; ".join(broken[:5]))
     return plan
 
 
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -46,12 +46,12 @@
         self._over = self._spent = False
         self._backlog = False  # the transport holds octets back: what follows has to go through it
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         """Say who we are."""
         self.transport.setTcpNoDelay(True)
         self.transport.write(self._session.take_output())
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Answers, in any split."""
         if self._over or self._spent:
             return
@@ -93,7 +93,7 @@
             probed(None)
         self.transport.abortConnection()
 
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         """What is out is lost with it."""
         self._end(reason.getErrorMessage())
 
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -64,14 +64,14 @@
         self._advancing = self._stuck = self._paused = False
         self._spoken = False  # something was answered: a request that crosses the end after that is sent again
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         """Let it in, or another one go for it."""
         self.transport.setTcpNoDelay(True)
         self.transport.bufferSize = READ_SIZE
         self.transport.registerProducer(self, True)
         self.factory.arrived(self)
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Queries, in any split."""
         if not self._closing.serves:
             self._do(self._closing.drop(len(data)))
@@ -88,7 +88,7 @@
                 self.factory.gateway.shorten(command.request, command.operation.expires)
         self._advance()
 
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         """The client has gone: nothing is owed to it any more."""
         self._closing.on(Event.LOST)
         self.factory.left(self)
@@ -212,14 +212,14 @@
 
     # IPushProducer, for answers that the client does not read
 
-    def pauseProducing(self) -> None:
+    def pauseProducing(self) -> None:  # noqa: N802
         """Too much is unsent: nothing more is taken up."""
         self._stuck = True
 
-    def resumeProducing(self) -> None:
+    def resumeProducing(self) -> None:  # noqa: N802
         """It reads again."""
         self._stuck = False
         self._advance()
 
-    def stopProducing(self) -> None:
+    def stopProducing(self) -> None:  # noqa: N802
         """The connection is lost; ``connectionLost`` says so."""
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -67,7 +67,7 @@
         """``call`` once a connection has left: until then nothing is accepted."""
         self._when_room = call
 
-    def buildProtocol(self, addr: Any) -> ClientConnection:
+    def buildProtocol(self, addr: Any) -> ClientConnection:  # noqa: N802
         return ClientConnection(self, next(self._numbers))
 
     def arrived(self, connection: ClientConnection) -> None:
--- a/yardbank/platform/listening.py
+++ b/yardbank/platform/listening.py
@@ -16,11 +16,11 @@
 
     unsent = False
 
-    def startWriting(self) -> None:
+    def startWriting(self) -> None:  # noqa: N802
         self.unsent = True
         super().startWriting()
 
-    def stopWriting(self) -> None:
+    def stopWriting(self) -> None:  # noqa: N802
         """All is written, or the connection ends."""
         super().stopWriting()
         if self.unsent and self.connected:
@@ -44,7 +44,7 @@
     def __init__(self, port: int, factory: Any, interface: str, reactor: Any) -> None:
         super().__init__(port, factory, BACKLOG, interface, reactor)
 
-    def doRead(self) -> None:
+    def doRead(self) -> None:  # noqa: N802
         """Accept, but only as many as there are descriptors for."""
         if (most := min(self.numberAccepts, self.factory.room())) > 0:
             self.numberAccepts = most
@@ -68,7 +68,7 @@
         look.register(self.socket, select.POLLIN)
         return bool(look.poll(0))
 
-    def connectionLost(self, reason: Any) -> None:
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
         """Closing the port resets whoever waits to be accepted: they are, in the very turn."""
         self.accept_waiting()
         super().connectionLost(reason)
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -29,17 +29,17 @@
         self._watcher, self.number, self.watch = watcher, number, watch
         self.dropped = False
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         self.transport.write(self.watch.request)
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.dropped:
             return
         self._watcher.heard(self, data)
         if self.watch.done and not self.dropped:
             self.transport.loseConnection()
 
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         if not self.dropped:
             self._watcher.ended(self, reason.getErrorMessage())
 
@@ -70,10 +70,10 @@
     def __init__(self, made: _Watching) -> None:
         self._made = made
 
-    def buildProtocol(self, addr: Any) -> _Watching:
+    def buildProtocol(self, addr: Any) -> _Watching:  # noqa: N802
         return self._made
 
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
         self._made.connectionLost(reason)
 
 
--- a/yardbank/rig/client.py
+++ b/yardbank/rig/client.py
@@ -55,7 +55,7 @@
         self._leaving = self._departed = False
         self.reason = ""
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         """No delay for small messages."""
         if hasattr(self.transport, "setTcpNoDelay"):
             self.transport.setTcpNoDelay(True)
@@ -91,7 +91,7 @@
         """Simple bind."""
         return self.request(m.BindRequest(name, password.encode()))
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Answers."""
         try:
             events = self._end.receive(data)
@@ -126,7 +126,7 @@
             asked.done.callback(asked.answer)
         self._look()
 
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         """Nothing more comes."""
         self.gone = True
         self._note("lost", reason=self.reason or reason.getErrorMessage())
--- a/yardbank/rig/guardian.py
+++ b/yardbank/rig/guardian.py
@@ -34,7 +34,7 @@
         self.transport: Any = None
         self.pid = 0
 
-    def childDataReceived(self, fd: int, data: bytes) -> None:
+    def childDataReceived(self, fd: int, data: bytes) -> None:  # noqa: N802
         self._log.write(data)
         self._log.flush()
         *lines, rest = (self._rest[fd] + data).split(b"\n")
@@ -42,7 +42,7 @@
         for line in lines:
             self._guardian.say("line", self._name, line=line[:MAX_NEWS].decode(errors="replace"))
 
-    def processEnded(self, reason: Any) -> None:
+    def processEnded(self, reason: Any) -> None:  # noqa: N802
         self._log.close()
         if self.group:  # what it left behind; a group's number is not given again while one of it is there
             with contextlib.suppress(ProcessLookupError):
@@ -67,7 +67,7 @@
         if not self._leaving:
             self.transport.write(json.dumps({"event": event, "name": name, **facts}).encode() + b"\n")
 
-    def lineReceived(self, line: bytes) -> None:
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """One order."""
         order = json.loads(line)
         name = order["name"]
@@ -105,7 +105,7 @@
         if self._leaving and not self._children:
             self._reactor.callLater(0, self._reactor.stop)
 
-    def connectionLost(self, reason: Any = None) -> None:
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Nobody gives orders any more: end them all, then oneself."""
         self.leave()
 
--- a/yardbank/rig/play.py
+++ b/yardbank/rig/play.py
@@ -17,7 +17,7 @@
 from yardbank.rig.claim import TERMS
 from yardbank.rig.drive import Drive
 from yardbank.rig.load import draw
-from yardbank.rig.processes import GuardianLost, ProgramMissing
+from yardbank.rig.processes import GuardianLostError, ProgramMissingError
 from yardbank.rig.roster import DOWN, ENDING, PAUSED, READY, STARTING, sees_rightly
 from yardbank.rig.scenario import CLIENTS, NETWORK
 
@@ -73,7 +73,7 @@
         self._refresh(lambda pair: True)
         try:
             yield self._all([self._start_gateway(name) for name in self.places])
-        except ProgramMissing as problem:
+        except ProgramMissingError as problem:
             raise PlayError(str(problem)) from None
 
     def _all(self, waiting: list[Deferred[Any]]) -> Deferred[Any]:
@@ -84,7 +84,7 @@
 
     def _not_up(self, failure: Any) -> None:
         first = getattr(failure.value, "subFailure", failure)
-        text = str(first.value) if first.check(GuardianLost) else f"not all were ready within {START_TIMEOUT:g} s"
+        text = str(first.value) if first.check(GuardianLostError) else f"not all were ready within {START_TIMEOUT:g} s"
         raise PlayError(f"{text}; logs are in {self.folder}")
 
     @inlineCallbacks
--- a/yardbank/rig/processes.py
+++ b/yardbank/rig/processes.py
@@ -24,26 +24,26 @@
 def program_command(kind: str, settings: Path, channels: int) -> tuple[list[str], dict[str, str]]:
     """What starts a gateway, and its environment beside the rig's own; ``kind``: "", "landed" or "notices".
 
-    Raises ``ProgramMissing``.
+    Raises ``ProgramMissingError``.
     """
     if kind == "notices":
         if not EXAMPLE.exists():
-            raise ProgramMissing(f"{EXAMPLE}: the example is not there")
+            raise ProgramMissingError(f"{EXAMPLE}: the example is not there")
         return [sys.executable, str(EXAMPLE), str(settings), "--channels", str(channels), "--every", str(EVERY)], {}
     usual = ["-m", "yardbank", "serve", str(settings)]
     if not kind:
         return [sys.executable, *usual], {}
     older = os.environ.get("YARDBANK_LANDED", "")
     if not (Path(older) / "yardbank").is_dir():
-        raise ProgramMissing(f'YARDBANK_LANDED: "{older}" holds no older program')
+        raise ProgramMissingError(f'YARDBANK_LANDED: "{older}" holds no older program')
     return [sys.executable, "-P", *usual], {"PYTHONPATH": older}
 
 
-class ProgramMissing(Exception):
+class ProgramMissingError(Exception):
     """A program that a scenario wants is not there; says which."""
 
 
-class GuardianLost(Exception):
+class GuardianLostError(Exception):
     """The guardian ended before it was told to."""
 
 
@@ -103,7 +103,7 @@
     def _wait(self, name: str, word: str) -> Deferred[Any]:
         done: Deferred[Any] = Deferred()
         if self._gone.called and word == "ready":
-            done.errback(GuardianLost("the guardian ended"))
+            done.errback(GuardianLostError("the guardian ended"))
         elif word == "ended" and self.roster.member(name).state == DOWN:
             done.callback(None)
         else:
@@ -114,14 +114,14 @@
         for done in self._waiting.pop((name, word), []):
             done.errback(failure) if failure else done.callback(None)
 
-    def outReceived(self, data: bytes) -> None:
+    def outReceived(self, data: bytes) -> None:  # noqa: N802
         """News from the guardian."""
         *lines, self._rest = (self._rest + data).split(b"\n")
         for line in lines:
             news = json.loads(line)
             getattr(self, f"_{news['event']}")(news["name"], news)
 
-    def errReceived(self, data: bytes) -> None:
+    def errReceived(self, data: bytes) -> None:  # noqa: N802
         """The guardian has nothing to complain of unless it is broken."""
         self._record({"kind": "guardian", "text": data.decode(errors="replace")[:2000]})
 
@@ -149,7 +149,7 @@
         meant = self.roster.ended(name, news["code"], news["signal"])
         self._record({"kind": "process", "name": name, "what": "ended", "meant": meant, "code": news["code"],
                       "signal": news["signal"]})  # fmt: skip
-        self._happened(name, "ready", GuardianLost(f"{name} ended before it was ready"))
+        self._happened(name, "ready", GuardianLostError(f"{name} ended before it was ready"))
         self._happened(name, "ended")
 
     def close(self) -> Deferred[None]:
@@ -159,7 +159,7 @@
             self.transport.closeStdin()
         return self._gone
 
-    def processEnded(self, reason: Any) -> None:
+    def processEnded(self, reason: Any) -> None:  # noqa: N802
         """The guardian is gone. If it was not told to go, its processes are still there: end them by their ids."""
         if not self._closing:
             for member in self.roster.running():
@@ -168,7 +168,7 @@
                     end(member.pid, signal.SIGKILL)
             self.roster.lost()
         for waiting in list(self._waiting):
-            self._happened(*waiting, failure=GuardianLost("the guardian ended"))
+            self._happened(*waiting, failure=GuardianLostError("the guardian ended"))
         if not self._gone.called:
             self._gone.callback(None)
         if not self._closing:
--- a/yardbank/rig/relay.py
+++ b/yardbank/rig/relay.py
@@ -47,12 +47,12 @@
         self.told_to_end = False  # as the other side has ended
         self.tap: Tap | None = None
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         self.transport.setTcpNoDelay(True)
         if self._pair[0] == self._relay.source and self._relay.tap is not None:
             self.tap = self._relay.tap(self.transport.getPeer().port)
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.tap is not None:
             self.tap.entered(self._relay.seconds(), data)
         self._stream.push(self._relay.seconds(), data, self._relay.effect(self._pair))
@@ -60,7 +60,7 @@
             self.transport.pauseProducing()
         self.look()
 
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         self.over = True
         if self.told_to_end and self.other is not None and self.other.tap is not None:
             self.other.tap.ended()
@@ -111,7 +111,7 @@
     def __init__(self, relay: StreamRelay) -> None:
         self._relay = relay
 
-    def buildProtocol(self, addr: Any) -> _Side:
+    def buildProtocol(self, addr: Any) -> _Side:  # noqa: N802
         return self._relay.accept()
 
 
@@ -212,7 +212,7 @@
         self._port = reactor.listenUDP(0, self, interface=HOST, maxPacketSize=65535)
         self.port: int = self._port.getHost().port
 
-    def datagramReceived(self, datagram: bytes, addr: Any) -> None:
+    def datagramReceived(self, datagram: bytes, addr: Any) -> None:  # noqa: N802
         now = self._reactor.seconds()
         self._seen(self.source, self.target, datagram)
         for at, data in self.wire.push(now, datagram, self._network.effect(self.source, self.target)):
@@ -229,7 +229,7 @@
         self.passed, self.octets = self.passed + 1, self.octets + len(data)
         self.transport.write(data, (HOST, port))
 
-    def connectionRefused(self) -> None:
+    def connectionRefused(self) -> None:  # noqa: N802
         """Nobody listens there: as lost."""
 
     def close(self) -> Any:
--- a/yardbank/rollout/book.py
+++ b/yardbank/rollout/book.py
@@ -51,7 +51,7 @@
         self._pending = {name: found for name, found in self._pending.items() if name in self._names}
 
     def take(self, sender: str, body: bytes) -> list[Said]:
-        """A letter came: the records that count from now on. Raises ``Dropped``."""
+        """A letter came: the records that count from now on. Raises ``DroppedError``."""
         found = []
         for said, raw in records(body):
             if said.owner not in self._names:
--- a/yardbank/rollout/part.py
+++ b/yardbank/rollout/part.py
@@ -110,7 +110,7 @@
             self._mover.begun(now)
 
     def receive(self, now: int, sender: str, life: int, body: bytes) -> None:
-        """A letter of a peer. Raises ``Dropped``."""
+        """A letter of a peer. Raises ``DroppedError``."""
         for said in self._book.take(sender, body):
             if said.stop:
                 self._tick_at = min(self._tick_at, now)
@@ -169,7 +169,7 @@
             stage = self._order.stage_of(self._sight.name)
             turn = not self._recall and not self._held and 0 < stage <= mover.stage
             mover.step(now, turn, self._recall, self._ahead(self._order, told, alive))
-            if mover.place != place and mover.place != DUE and place != DUE:
+            if mover.place not in (place, DUE) and place != DUE:
                 self._teller.forget()  # figures from before are not of where it is now
             if self._next is not None and mover.place in (OLD, FELL):
                 self._adopt(now, *self._next)
--- a/yardbank/rollout/said.py
+++ b/yardbank/rollout/said.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from yardbank.peers.datagram import MAX_INCARNATION, MAX_NAME, Dropped
+from yardbank.peers.datagram import MAX_INCARNATION, MAX_NAME, DroppedError
 
 MAX_CELLS, MAX_RECORD, MAX_WHY = 8, 600, 48
 MAX_COUNT = 1 << 53
@@ -69,20 +69,20 @@
 def records(body: bytes) -> list[tuple[Said, bytes]]:
     """The records of a letter, each with its octets; none, if it is of a kind that a later program has.
 
-    Raises ``Dropped``.
+    Raises ``DroppedError``.
     """
     try:
         parts = _letter.decode(body)
         if not parts:
-            raise Dropped("shape")
+            raise DroppedError("shape")
         if bytes(parts[0]) != KIND:
             msgspec.msgpack.decode(parts[0], type=str)
             return []
         found = [(_said.decode(part), bytes(part)) for part in parts[1:]]
     except (msgspec.DecodeError, UnicodeDecodeError):
-        raise Dropped("shape") from None
+        raise DroppedError("shape") from None
     if not all(_sound(said) and len(raw) <= MAX_RECORD for said, raw in found):
-        raise Dropped("shape")
+        raise DroppedError("shape")
     return found
 
 
--- a/yardbank/standin/process.py
+++ b/yardbank/standin/process.py
@@ -90,17 +90,17 @@
     def _say(self, news: dict[str, Any]) -> None:
         self.transport.write(json.dumps(news).encode() + b"\n")
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         """Whoever commands is there: tell where the servers listen."""
         ports = {name: server.port for name, server in self.servers.items()}
         self._say({"event": "group_ready", "group": self._spec.group, "servers": ports})
 
-    def lineReceived(self, line: bytes) -> None:
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
         """One command, for one server."""
         order = json.loads(line)
         self._commands[order["do"]](self.servers[order["server"]], order)
 
-    def connectionLost(self, reason: Any = None) -> None:
+    def connectionLost(self, reason: Any = None) -> None:  # noqa: N802
         """Nobody commands any more."""
         if self._reactor.running:
             self._reactor.stop()
--- a/yardbank/standin/server.py
+++ b/yardbank/standin/server.py
@@ -204,7 +204,7 @@
     def __init__(self, server: Standin) -> None:
         self._server = server
 
-    def buildProtocol(self, addr: Any) -> _Link:
+    def buildProtocol(self, addr: Any) -> _Link:  # noqa: N802
         return _Link(self._server)
 
 
@@ -220,12 +220,12 @@
         self.dead = False  # half open: the other end is gone and nobody says so
         self._trickling: deque[bytes] = deque()
 
-    def connectionMade(self) -> None:
+    def connectionMade(self) -> None:  # noqa: N802
         self.server.links[self] = None
         if hasattr(self.transport, "setTcpNoDelay"):
             self.transport.setTcpNoDelay(True)
 
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008
+    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         self.server.links.pop(self, None)
         self.end.close()
 
@@ -235,7 +235,7 @@
         if self.transport is not None:
             self.transport.abortConnection()
 
-    def dataReceived(self, data: bytes) -> None:
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.dead:
             return
         if self.server.faults.half_open:
