Tests: draws of the wire's plays go on until probes were seen often enough

Cause of the first failure: derandomized draws depend on the modules that are loaded, and gave 0 to more than 30 probes in 80 plays.

Change: the usual draws are as they were; where they brought too few actions, up to six further sets are played, and the same bounds hold.

--- a/tests/test_settings_drawn.py
+++ b/tests/test_settings_drawn.py
@@ -96,26 +96,14 @@
     return [ordered[ranks[name]] for name in names]
 
 
-MOST_ROUNDS = 8
-
-
-def search(play=Play, played=None, phases=(Phase.generate, Phase.shrink), enough=lambda: True):
+def search(play=Play, played=None, phases=(Phase.generate, Phase.shrink), number=None):
     """Plays of drawn deployments, each under three sets of names; what is not equal is an ``AssertionError``.
 
-    What is drawn depends on the modules that are loaded, so further rounds are played until ``enough`` of each kind of
-    action was seen.
+    ``number``: of another set of draws than the usual one.
     """
-    for number in range(MOST_ROUNDS):
-        search_once(play, played, phases, number)
-        if enough():
-            return
-
-
-def search_once(play, played, phases, number):
     cells = st.integers(0, 10**6)
 
-    @seed(number)
-    @settings(max_examples=80, deadline=None, database=None, phases=phases)
+    @settings(derandomize=number is None, max_examples=80, deadline=None, database=None, phases=phases)
     @given(deployments(), st.data())
     def plays(drawn, data):
         told, script = drawn
@@ -131,17 +119,18 @@
         if played is not None:
             played.update(what[0] for what in trace)
 
+    if number is not None:
+        plays = seed(number)(plays)
     plays()
 
 
 def test_every_action_is_the_same_under_other_names():
     played = Counter()
+    search(played=played)
+    assert min(played[what] for what in ("server", "client", "dial", "closed")) > 100, played
 
-    def enough():
-        return min(played[what] for what in ("server", "client", "dial", "closed")) > 100
 
-    search(played=played, enough=enough)
-    assert enough(), played
+MOST_ROUNDS = 6  # of further draws: what Hypothesis draws depends on the modules that are loaded
 
 
 def test_behind_the_bench_s_wire_every_action_is_the_same_under_other_names_and_tenants():
@@ -150,7 +139,10 @@
     def enough():
         return min(played[what] for what in ("forward", "busy", "schedule")) > 100 and played["sound_out"] > 30
 
-    search(WirePlay, played, enough=enough)
+    search(WirePlay, played)
+    for number in range(MOST_ROUNDS):
+        if not enough():
+            search(WirePlay, played, (Phase.generate,), number)
     assert enough(), played
     assert not played["die"]
 
