One look for unread octets decides how a client's connection ends

Callers: a request on a connection that was not being read, as 256 commands waited, was kept by the second look and then never read: it was reset when the process ended. Elsewhere a request that crossed the end was counted in closed_unanswered although its client sends it again.

Cause: the end rested on two or three looks for unread octets (before the end of sending, and again while counting). What the later look found was counted, not acted on; reading that was paused was not resumed for it.

Fix: Lingering looks once, right before it ends the sending; what it finds is served and reading resumed, what comes later crosses the end.

--- a/tests/platform/test_race_closing.py
+++ b/tests/platform/test_race_closing.py
@@ -11,7 +11,7 @@
 from tests.support.platform import READ, READY, START, query
 from yardbank.gateway import Reply
 from yardbank.platform.admission import State
-from yardbank.platform.client import EMPTY
+from yardbank.platform.client import EMPTY, MAX_QUEUED
 from yardbank.platform.closing import MOST_OCTETS, Closing, Event, Stage, Step
 
 
@@ -83,6 +83,52 @@
     wire.until(lambda: near.transport.disconnected)
 
 
+# Guards against two looks for one decision: a request between them was counted as swallowed though it crossed the end.
+@pytest.mark.parametrize("later", ["nothing", "a second request"])
+def test_a_request_that_crosses_the_end_is_not_counted_as_unanswered(wire, later):
+    far, near = wire.client(START + query(""), answers=2)
+    sends_after_the_look(near, far, query(READ))
+    near.let_go("it may go")
+    assert not to_its_end(wire, far)
+    wire.until(lambda: not near.unread())
+    if later != "nothing":
+        far.sendall(query(READ))
+        arrives(near, select.POLLIN)
+    near.overdue()
+    wire.until(lambda: near.transport.disconnected)
+    assert wire.factory.counts["closed_unanswered"] == 0 and not wire.backend.out
+
+
+def stopped_while_paused(wire):
+    """A connection whose last answers are written while it is not read, as 256 commands wait, and the gateway stops."""
+    far, near = wire.client()
+    far.sendall(query(READ) + (MAX_QUEUED - 1) * query(""))
+    wire.until(lambda: wire.backend.out and near not in reading(wire))
+    wire.factory.close_idle()
+    return far, near
+
+
+def reading(wire):
+    return [transport.protocol for transport in wire.reactor.getReaders() if hasattr(transport, "protocol")]
+
+
+# Guards against a connection that is kept for a request and not read any more: the request was swallowed by a reset.
+@pytest.mark.parametrize("when", ["before the look", "after the look"])
+def test_a_request_at_the_end_of_a_connection_that_was_not_read_is_served_or_meets_a_clean_end(wire, when):
+    far, near = stopped_while_paused(wire)
+    if when == "before the look":
+        far.sendall(query(READ.replace("a1", "a9")))
+        arrives(near, select.POLLIN)
+    else:
+        sends_after_the_look(near, far, query(READ.replace("a1", "a9")))
+    wire.backend.out[0][1].attempt_done(Reply("ok", b"first"))
+    wire.gateway.stop()
+    got = to_its_end(wire, far)
+    assert got.startswith(b"first" + READY) and got.count(EMPTY) == MAX_QUEUED - 1
+    assert (b"C53300\0" in got) == (when == "before the look")
+    assert wire.factory.counts["closed_unanswered"] == 0
+
+
 def test_the_last_answer_is_not_lost_to_a_request_that_crosses_the_end(wire):
     far, near = wire.client()
     far.sendall(query(READ))
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -119,14 +119,17 @@
         self._advance()
 
     def owes(self) -> bool:
-        """Whether the client has asked, or is asking, for what it has not got."""
-        return self._session.state() in (State.BUSY, State.PARTIAL) or self.unread()
+        """Whether the client has asked, or is asking, for what it has not got, by what was read of it."""
+        return self._session.state() in (State.BUSY, State.PARTIAL)
 
     def let_go(self, reason: str) -> None:
-        """Close it, with a word to a client whose request the end may cross and that would not send it again."""
+        """Close it unless octets of the client are unread: those are served first.
+
+        With a word to a client whose request the end may cross and that would not send it again.
+        """
         if self._spoken and self._session.state() is not State.PARTIAL:
-            self.close(b"")
-        else:
+            self.close(b"")  # looks for unread octets right before the sending ends
+        elif not self.unread():
             self.close(client.turned_away(self.factory.come_again, reason))
 
     def reject(self, reason: str, last: bytes) -> None:
@@ -137,10 +140,10 @@
     def _lingers(self) -> None:
         self.factory.lingers(self)
 
-    def _no_more(self) -> None:
-        """From here on nothing of the client is served."""
-        if not self._told_last and not self._session.left and (not self._spoken or self.owes()):
-            self._told_last = True
+    def service_ended(self, unread: bool) -> None:
+        """Nothing of the client is served any more: count it if its request was read, or found unread, in vain."""
+        swallowed = not self._spoken or self.owes() or unread
+        if swallowed and not self._told_last and not self._session.left:
             self.factory.counts["closed_unanswered"] += 1
         self.factory.closes(self)
         self._read_on()
@@ -162,9 +165,13 @@
             self._withdraw()
             self.close(b"")
             return
-        if self.factory.stopping and not self._stuck and self._session.state() is State.IDLE and not self.unread():
+        if self.factory.stopping and not self._stuck and self._session.state() is State.IDLE:
             self.let_go(STOPPING)
-            return
+        if self._closing.serves:
+            self._regulate_reading()
+
+    def _regulate_reading(self) -> None:
+        """Stop reading where too much waits, go on where little does; an end that waits has to hear of octets."""
         if self._session.full and not self._paused:
             self._paused = True
             self.factory.queue_bound(len(self._session.pipeline))
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -153,7 +153,7 @@
             if state is State.IDLE:
                 if connection.ending:
                     connection.overdue()
-                elif not connection.unread():  # else it has just asked: the next look finds it busy
+                else:  # if it has just asked, it stays and is served
                     connection.let_go(reason)
                 continue
             self.counts["timed_out"] += 1
@@ -182,7 +182,7 @@
         if not self._connections:
             emptied()
         for connection in list(self._connections.values()):
-            if not connection.unread() and not connection.ending:
+            if not connection.ending:
                 connection.let_go(STOPPING)
 
     def cut_all(self) -> None:
--- a/yardbank/platform/lingering.py
+++ b/yardbank/platform/lingering.py
@@ -17,7 +17,8 @@
 
     def __init__(self) -> None:
         self._closing = Closing()
-        self._told_last = False  # it had its last word, or its end without one is counted
+        self._told_last = False  # it had its last word
+        self._service_ended = False
 
     def unread(self) -> bool:
         """Whether octets of the client wait in the socket: closing it would swallow them."""
@@ -52,34 +53,48 @@
 
     def written(self) -> None:
         """All that was written is out: an end that waited for it goes on, unless the client has asked meanwhile."""
+        self._go_on(Event.WRITTEN)
+
+    def _go_on(self, event: Event) -> None:
+        """Go on with an end that waited, unless the client has asked meanwhile: the one look that decides it."""
         if self._closing.stage is Stage.DRAINING and self.unread():
             self._closing.on(Event.OCTETS)
-        self._do(self._closing.on(Event.WRITTEN))
+            return
+        self._do(self._closing.on(event))
 
     def _do(self, step: Step) -> None:
-        if step is Step.NOTHING:
-            return
-        if self._closing.stage is Stage.DRAINING or self._closing.stage is Stage.SAYING:
-            unsent = getattr(self.transport, "unsent", None)
-            if self._closing.stage is Stage.SAYING:
-                self._no_more()
-            if unsent is None:  # a transport that cannot end its sending alone
-                self._do(self._closing.on(Event.REJECTED))
-            elif not unsent:
-                self.written()
-            return
-        self._no_more()
-        if step is Step.SHUT:
-            self.transport.end_sending()
+        if step is Step.FLUSH:
+            self._flush()
+        elif step is Step.SHUT:
+            self.transport.end_sending()  # right behind the look: what comes from here on crosses the end
+            self._end_service(unread=False)
             self._lingers()
         elif step is Step.RESET:
+            self._end_service(unread=self.unread())
             self.transport.abortConnection()
-        else:
+        elif step is Step.CLOSE:
+            self._end_service(unread=self.unread())
             self.transport.unregisterProducer()
             self.transport.loseConnection()
 
+    def _flush(self) -> None:
+        """Go on at once if nothing is unsent; else the transport says when all is written."""
+        if self._closing.stage is Stage.SAYING:
+            self._end_service(unread=False)
+        unsent = getattr(self.transport, "unsent", None)
+        if unsent is None:  # a transport that cannot end its sending alone
+            self._go_on(Event.REJECTED)
+        elif not unsent:
+            self._go_on(Event.WRITTEN)
+
+    def _end_service(self, unread: bool) -> None:
+        """From here on nothing of the client is served; ``unread``: whether octets of it were found in the socket."""
+        if not self._service_ended:
+            self._service_ended = True
+            self.service_ended(unread)
+
+    def service_ended(self, unread: bool) -> None:
+        """Told once, when nothing of the client is served any more; see ``_end_service``."""
+
     def _lingers(self) -> None:
         """The sending has ended, or more of what came after that was read."""
-
-    def _no_more(self) -> None:
-        """From here on nothing of the client is served; called before each step at the transport."""
