A client that asks on to the very end is told so instead of being reset

Callers: half a second after an ending gateway had answered all it had taken, a client that kept asking was reset in the middle of its request.

Cause: in that last half second a connection with unread octets stayed and what it brought was refused. A client that asks again at once had octets there at every look, so its connection stayed until everything left was cut.

The new test saw a reset in both cases.

Fix: in the last round what the look before the end finds, and half a request, are answered with 57P03 (nothing ran), and the sending ends.

--- a/tests/platform/test_race_closing.py
+++ b/tests/platform/test_race_closing.py
@@ -129,6 +129,32 @@
     assert wire.factory.counts["closed_unanswered"] == 0
 
 
+# Guards against a client that asks on to the very end: it was cut in the middle of a request, with a reset.
+@pytest.mark.parametrize("next_octets", [query(READ)[:20], query(READ)], ids=["half a request", "a request"])
+def test_a_client_that_asks_on_once_all_is_answered_is_told_the_end_and_not_cut(wire, next_octets):
+    far, near = wire.client(START + query(""), answers=2)
+    far.sendall(query(READ))
+    arrives(near, select.POLLIN)
+    wire.factory.close_idle()
+    wire.gateway.stop()
+    wire.factory.close_all(lambda: None)
+    asking_on = near.transport.doWrite
+
+    def asks_on():
+        far.sendall(next_octets)
+        arrives(near, select.POLLIN)
+        return asking_on()
+
+    near.transport.doWrite = asks_on
+    wire.until(lambda: readable(far))
+    for _ in range(10):
+        wire.reactor.iterate(0)
+    wire.factory.cut_all()
+    got = to_its_end(wire, far)
+    assert got.count(b"C53300\0") == 1 and b"C57P03\0" in got
+    assert wire.factory.counts["closed_unanswered"] == 0
+
+
 def test_the_last_answer_is_not_lost_to_a_request_that_crosses_the_end(wire):
     far, near = wire.client()
     far.sendall(query(READ))
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -130,7 +130,11 @@
         if self._spoken and self._session.state() is not State.PARTIAL:
             self.close(b"")  # looks for unread octets right before the sending ends
         elif not self.unread():
-            self.close(client.turned_away(self.factory.come_again, reason))
+            self._turn_away(reason)
+
+    def _turn_away(self, reason: str) -> None:
+        """Close it with the message that what may be on its way never ran."""
+        self.close(client.turned_away(self.factory.come_again, reason))
 
     def reject(self, reason: str, last: bytes) -> None:
         """The client sent what cannot be served: it is told so, and nothing of it is waited for."""
@@ -165,11 +169,26 @@
             self._withdraw()
             self.close(b"")
             return
-        if self.factory.stopping and not self._stuck and self._session.state() is State.IDLE:
-            self.let_go(STOPPING)
+        if self.factory.stopping and not self._stuck:
+            self._end_if_stopping()
         if self._closing.serves:
             self._regulate_reading()
 
+    def _end_if_stopping(self) -> None:
+        """Close it where it owes nothing; in the last round half a request is not waited for either."""
+        state = self._session.state()
+        if state is State.IDLE:
+            self.let_go(STOPPING)
+        elif state is State.PARTIAL and self.factory.in_last_round:
+            self._turn_away(STOPPING)
+
+    def asked_meanwhile(self) -> None:
+        """The client has asked again before the end: it is served, or in the last round told the end as its answer."""
+        if self.factory.in_last_round:
+            self._turn_away(STOPPING)
+        else:
+            super().asked_meanwhile()
+
     def _regulate_reading(self) -> None:
         """Stop reading where too much waits, go on where little does; an end that waits has to hear of octets."""
         if self._session.full and not self._paused:
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -41,6 +41,7 @@
         self.come_again = min(gateway.settings.max_retry_after, COME_AGAIN) // MS
         self.open_ids: set[str] = set()
         self.stopping = False
+        self.in_last_round = False  # all that was taken is answered; each connection is read once more at most
         self.counts = dict.fromkeys(
             ("arrived", "rejected", "turned_away", "timed_out", "failed_unsent", "closed_unanswered"), 0
         )
@@ -176,7 +177,7 @@
     def close_all(self, emptied: Callable[[], None]) -> None:
         """All that was taken is answered; ``emptied`` is called when the last connection is gone.
 
-        One that has just been written to stays: what it brings is refused, and then it is closed.
+        One that has just been written to stays: what it brings is refused, and what comes behind that is told the end.
         """
         self._emptied = emptied
         if not self._connections:
@@ -184,6 +185,7 @@
         for connection in list(self._connections.values()):
             if not connection.ending:
                 connection.let_go(STOPPING)
+        self.in_last_round = True
 
     def cut_all(self) -> None:
         """Nothing is waited for any longer."""
--- a/yardbank/platform/lingering.py
+++ b/yardbank/platform/lingering.py
@@ -58,10 +58,14 @@
     def _go_on(self, event: Event) -> None:
         """Go on with an end that waited, unless the client has asked meanwhile: the one look that decides it."""
         if self._closing.stage is Stage.DRAINING and self.unread():
-            self._closing.on(Event.OCTETS)
+            self.asked_meanwhile()
             return
         self._do(self._closing.on(event))
 
+    def asked_meanwhile(self) -> None:
+        """Octets of the client were found before the end: the connection stays and they are read."""
+        self._closing.on(Event.OCTETS)
+
     def _do(self, step: Step) -> None:
         if step is Step.FLUSH:
             self._flush()
