The end of the platform's program fits before the earliest kill

With deadlines of 0.2 s SIGKILL may come 0.9 s after SIGTERM; with resting clients the process was still there then, and a request that a held-up process read late had its answer due after the kill.

Cause: the steps of the end were chained, each counting its whole time from the end of the one before it; a step that began late ended late.

Fix: StopSchedule, free of I/O, counts drain, answers and last messages from the signal: answered 0.2 s, gone 0.15 s before the earliest kill.

--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -192,6 +192,11 @@
     def stop(self):
         self.stops += 1
 
+    def connectTCP(self, *arguments, **named):  # noqa: N802
+        connector = super().connectTCP(*arguments, **named)
+        connector.state = "connecting"
+        return connector
+
 
 def listening(reactor, host, port, factory):
     made = reactor.listenTCP(port, factory, interface=host)
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -24,13 +24,9 @@
 from yardbank.platform.listing import Listing
 from yardbank.platform.signals import Signals
 from yardbank.platform.statement import out_of_reach
+from yardbank.platform.stop_schedule import LONGEST_GRACE, StopSchedule
 from yardbank.platform.watch import Watcher
 
-LINGER = 600 * MS  # after SIGTERM clients still come for a moment: they are served as ever
-# The platform kills no sooner than the longest deadline, taken as 3 s where it is longer, and 0.7 s more: what is owed
-# has its answer before that, also where its own deadline is later.
-LONGEST_GRACE = 3 * SECOND
-LAST_WORDS = 500 * MS  # for clients to take what was written to them
 LAST_TURNS = 256  # of the reactor, for those who wait to be accepted when the port is to be closed
 VIEW_EVERY = 5 * SECOND
 
@@ -53,6 +49,8 @@
         self.log = log
         descriptors = Descriptors.of(config.sockets)
         settings = config.settings
+        longest_deadline = max(each.deadline for each in settings.classes)
+        self._stop_schedule = StopSchedule.of(longest_deadline)
         limits = Limits(
             max_open=descriptors.for_clients(0),
             connections=descriptors.both,
@@ -60,7 +58,7 @@
             connect_timeout=settings.connect_timeout,
             probe_timeout=settings.connect_timeout,
             idle_close=config.idle_close * 3 // 4,
-            stop_grace=min(LONGEST_GRACE, max(each.deadline for each in settings.classes)),
+            stop_grace=min(LONGEST_GRACE, longest_deadline),
         )
         seconds = wall_seconds()
         backend = PlatformBackend(reactor, lambda: self.gateway.now(), settings.report_fields, log)
@@ -89,6 +87,7 @@
         self._port: Any = None
         self._last: Any = None
         self._ended = self._watch_over = False
+        self._stop_asked_at = 0.0  # s, on the reactor's clock
 
     def start(self) -> None:
         """Take the list that is known, listen, watch discovery."""
@@ -146,7 +145,11 @@
         if not self.factory.stopping and self._port is not None:
             self.log.info("stop_asked", owed=self.gateway.unanswered)
             port, self._port = self._port, None
-            self._reactor.callLater(LINGER / 1e9, self._look_first, self._drain, port)
+            self._stop_asked_at = self._reactor.seconds()
+            self._reactor.callLater(self._stop_schedule.drain_at / SECOND, self._look_first, self._drain, port)
+
+    def _since_stop_asked(self) -> int:
+        return int((self._reactor.seconds() - self._stop_asked_at) * SECOND)
 
     def _look_first(self, then: Callable[..., None], *arguments: Any) -> None:
         """Sockets are looked at between two rounds of timers: what came while the process was busy is taken first."""
@@ -158,12 +161,14 @@
             self._look_first(self._drain, port, turns - 1)
             return
         port.stopListening()
-        self.gateway.stop().addCallback(lambda _: self._look_first(self._stopped))
+        grace = self._stop_schedule.grace(self._since_stop_asked())
+        self.gateway.stop(grace).addCallback(lambda _: self._look_first(self._stopped))
 
     def _stopped(self) -> None:
         self._watch_over = True
         self.watcher.stop()
-        self._last = self._reactor.callLater(LAST_WORDS / 1e9, self._end)
+        last_words = self._stop_schedule.last_words(self._since_stop_asked())
+        self._last = self._reactor.callLater(last_words / SECOND, self._end)
         self.factory.close_all(self._end)
 
     def _end(self) -> None:
