Stand-ins and tests: a port belongs to one process, listening or not

Cause: two sockets with SO_REUSEADDR may be bound to one port while neither listens, so a bound socket with it reserves nothing from Twisted's listening sockets.

Fix: testing/ports.py serves stand-ins, demo, rollout and platform tests and benchmarks.

--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -20,6 +20,7 @@
 from yardbank.ldap import messages as m
 from yardbank.ldap.ber import Framer
 from yardbank.testing.demo.world import GATEWAY_DN, GATEWAY_PASSWORD
+from yardbank.testing.ports import free_port
 
 BASE = "ou=numbers,dc=porting"
 SEARCH = codec.encode_operation(m.SearchRequest(f"cn=1,{BASE}", 0, m.Present("objectClass"), ("description",)))
@@ -187,14 +188,6 @@
     return process
 
 
-def free_port() -> int:
-    """A port that nobody has."""
-    from yardbank.proxy import listening_socket
-
-    with listening_socket("127.0.0.1", 0, False) as made:
-        return int(made.getsockname()[1])
-
-
 def compare(clients: int, seconds: float, runs: int) -> None:
     """Everything side by side, in turn within each run."""
     names = {
--- a/tests/cluster/rollout/test_files.py
+++ b/tests/cluster/rollout/test_files.py
@@ -11,7 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from tests.support.reactor_thread import run, world
+from tests.support.reactor_thread import world
 from tests.support.rollout_fleet import Disk
 from tests.support.router_world import wait_for
 from yardbank.cluster.rollout import active_version as active_version_file
@@ -21,7 +21,7 @@
 from yardbank.cluster.rollout.phase import Phase
 from yardbank.config import ConfigError
 from yardbank.daemon.versions import Versions
-from yardbank.testing.demo.world import free_port
+from yardbank.testing.ports import free_port
 
 SECOND = 10**9
 GOOD = 'rollout "a" {\n  settings = "new.hcl"\n}\n'
@@ -177,7 +177,7 @@
 def test_a_supervised_gateway_leaves_a_program_that_does_not_start(tmp_path):
     """Real processes: the version in force ends at once, the one before serves; the file says so afterwards."""
     with world(start=False) as place:
-        place.port = run(free_port)
+        place.port = free_port()
         file, log = tmp_path / "g.hcl", tmp_path / "log"
         peers = 'peers {\n name = "g1"\n port = 0\n list = "peers.hcl"\n key = "key"\n}\nrollout {\n}\n'
         file.write_text(place.settings().replace('level = "warning"', 'level = "info"') + peers)
--- a/tests/cluster/rollout/test_landed_version.py
+++ b/tests/cluster/rollout/test_landed_version.py
@@ -10,9 +10,9 @@
 import pytest
 
 from tests.support.paths import ROOT
-from tests.support.reactor_thread import ensure_reactor, run
+from tests.support.reactor_thread import ensure_reactor
 from tests.support.router_world import wait_for
-from yardbank.testing.demo.world import free_port
+from yardbank.testing.ports import free_port
 
 LANDED = "9d7b4df"  # the last commit whose gateways know nothing of letters
 
@@ -55,7 +55,7 @@
     old_program = landed(tmp_path / "landed")
     names = {"g0": old_program, "g1": old_program, "g2": ROOT, "g3": ROOT, "g4": ROOT}
     ensure_reactor()
-    ports = {name: run(free_port) for name in names}
+    ports = {name: free_port() for name in names}
     (tmp_path / "key").write_text("ab" * 32 + "\n")
     (tmp_path / "peers.hcl").write_text(
         "".join(f'peer "{name}" {{\n address = "127.0.0.1"\n port = {port}\n}}\n' for name, port in ports.items())
--- a/tests/cluster/rollout/test_processes.py
+++ b/tests/cluster/rollout/test_processes.py
@@ -5,10 +5,10 @@
 import subprocess
 import sys
 
-from tests.support.reactor_thread import run, world
+from tests.support.reactor_thread import world
 from tests.support.router_world import wait_for
 from yardbank.cluster.rollout import active_version as active_version_file
-from yardbank.testing.demo.world import free_port
+from yardbank.testing.ports import free_port
 
 NAMES = ["g0", "g1", "g2", "g3"]
 ROLLOUT = """
@@ -24,7 +24,7 @@
 
 def test_gateways_go_over_under_their_supervisors_and_back_when_two_say_stop(tmp_path):
     with world(start=False) as place:
-        ports = {name: run(free_port) for name in NAMES}
+        ports = {name: free_port() for name in NAMES}
         peers = "".join(
             f'peer "{name}" {{\n address = "127.0.0.1"\n port = {port}\n}}\n' for name, port in ports.items()
         )
@@ -34,7 +34,7 @@
             (tmp_path / name / file).write_text(text)
 
         for name in NAMES:
-            place.port = run(free_port)
+            place.port = free_port()
             (tmp_path / name).mkdir()
             put(name, "key", "ab" * 32 + "\n")
             put(name, "peers.hcl", peers)
--- a/tests/daemon/test_daemon.py
+++ b/tests/daemon/test_daemon.py
@@ -17,7 +17,8 @@
 from yardbank.daemon.clocks import Clocks
 from yardbank.daemon.restarts import Restarts
 from yardbank.ldap import messages as m
-from yardbank.testing.demo.world import DESK_DN, DESK_PASSWORD, free_port
+from yardbank.testing.demo.world import DESK_DN, DESK_PASSWORD
+from yardbank.testing.ports import free_port
 from yardbank.testing.rig.client import connect
 
 
@@ -47,7 +48,7 @@
 
 def test_workers_share_a_port_and_a_dead_one_is_started_again(tmp_path):
     with world(start=False) as place:
-        place.port = run(free_port)
+        place.port = free_port()
         file, log = tmp_path / "g.hcl", tmp_path / "log"
         file.write_text(place.settings().replace('level = "warning"', 'level = "info"'))
         with log.open("wb") as out:
--- a/tests/platform/test_race_descriptors.py
+++ b/tests/platform/test_race_descriptors.py
@@ -13,6 +13,7 @@
 from tests.support.client_sockets import readable
 from tests.support.platform import AUTHENTICATED, CONFIG, ENTRY, ENV, HEAD, READ, READY, START, chunk, query, row
 from yardbank.gateway.api import MS
+from yardbank.testing.ports import free_port
 
 EXEC = (
     "import os, resource, sys; n = int(sys.argv[1]); resource.setrlimit(resource.RLIMIT_NOFILE, (n, n));"
@@ -30,8 +31,7 @@
 
 def run(tmp_path, sockets, discovery, known):
     """The program, with as many descriptors as its configuration says and no more."""
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        port = free.getsockname()[1]
+    port = free_port()
     (tmp_path / "config.json").write_bytes(
         orjson.dumps(
             {
@@ -93,7 +93,7 @@
 @pytest.mark.parametrize("down", ["silent", "refuses"])
 @pytest.mark.parametrize("sockets", [64, 96, 256])
 def test_idle_clients_that_fill_the_descriptors_keep_nobody_from_being_heard(tmp_path, sockets, down):
-    discovery = socket.create_server(("127.0.0.1", 0), backlog=512)
+    discovery = socket.create_server(("127.0.0.1", free_port()), backlog=512)
     server = socket.create_server(("127.0.0.1", 0), backlog=512)
     address = discovery.getsockname()
     if down == "refuses":
--- a/tests/platform/test_race_signals.py
+++ b/tests/platform/test_race_signals.py
@@ -11,6 +11,7 @@
 import pytest
 
 from tests.support.platform import CONFIG, READ, READY, START, query, service, serving
+from yardbank.testing.ports import free_port
 
 
 def start_held(tmp_path, discovery):
@@ -18,8 +19,7 @@
 
     The file is a pipe first and the configuration later, so that a reload reads something else than the start.
     """
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    listen = f"127.0.0.1:{free_port()}"
     file, later = tmp_path / "config.json", tmp_path / "later.json"
     os.mkfifo(file)
     process = subprocess.Popen(
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -1,7 +1,6 @@
 """What the tests of the platform share: a deployment, octets of each protocol, a gateway over string transports."""
 
 import os
-import socket
 import subprocess
 import sys
 from types import SimpleNamespace
@@ -22,6 +21,7 @@
 )
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.service import Service
+from yardbank.testing.ports import free_port
 
 LOOKUP = RequestClass("lookup", 500 * MS, 1500 * MS, 2, 0, "safe", read="bounded", staleness_bound=800 * MS)
 STATUS = RequestClass("status", 750 * MS, 2000 * MS, 1, 0.2, "safe", read="session")
@@ -218,8 +218,7 @@
 
     ``change``: fields of its file that are others than ``CONFIG`` has.
     """
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        port = free.getsockname()[1]
+    port = free_port()
     file = tmp_path / "config.json"
     here = {"listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{discovery}"}
     file.write_bytes(orjson.dumps({**CONFIG, **here, **change}))
--- a/yardbank/testing/demo/world.py
+++ b/yardbank/testing/demo/world.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import errno
 import os
 import signal
 import subprocess
@@ -10,7 +9,6 @@
 import tempfile
 import time
 from collections.abc import Callable, Mapping, Sequence
-from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -18,7 +16,8 @@
 from twisted.internet.threads import deferToThread
 
 from yardbank.config import load_text
-from yardbank.proxy import Proxy, listening_socket
+from yardbank.proxy import Proxy
+from yardbank.testing.ports import free_port
 from yardbank.testing.rig.record import Recorder
 from yardbank.testing.standin.cluster import Cluster, Timing
 from yardbank.testing.standin.process import device
@@ -75,26 +74,7 @@
 """
 
 
-__all__ = ["Recorder", "World", "free_port"]
-
-_ports = count()
-
-
-def free_port() -> int:
-    """A port for a process that is yet to listen.
-
-    Below the range that the system hands out by itself, in a block of this process's own: else another world's
-    server may have taken it before the process comes to listen.
-    """
-    block = 10_000 + os.getpid() % 200 * 100
-    for _ in range(100):
-        port = block + next(_ports) % 100
-        try:
-            listening_socket("127.0.0.1", port, False).close()
-        except OSError:
-            continue
-        return port
-    raise OSError(errno.EADDRINUSE, "no port of this process's block is free")
+__all__ = ["Recorder", "World"]
 
 
 class World:
--- a/yardbank/testing/standin/server.py
+++ b/yardbank/testing/standin/server.py
@@ -19,6 +19,7 @@
 from yardbank.ldap import messages as m
 from yardbank.ldap.match import matches
 from yardbank.ldap.state import Abandoned, Asked, Broken, Closed, ServerEnd
+from yardbank.testing.ports import ReservedPort
 from yardbank.testing.standin.cluster import Cluster, Record
 from yardbank.testing.standin.directory import show
 
@@ -61,18 +62,6 @@
     kind: str
 
 
-def _reserved(port: int) -> socket.socket:
-    """A socket that is bound and never listens: nobody else gets the port while the server is down (0: any port)."""
-    made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        made.bind(("127.0.0.1", port))
-    except OSError:
-        made.close()
-        raise
-    return made
-
-
 class Standin:
     """One server: a member of a cluster, listening on a port that is its own as long as the object lives."""
 
@@ -101,15 +90,15 @@
         self._paused: list[Callable[[], None]] = []
         self._port: Any = None
         self._epoch = 0
-        self._reservation = _reserved(port)
-        self.port: int = self._reservation.getsockname()[1]
+        self._reserved_port = ReservedPort(port)
+        self.port = self._reserved_port.number
         self.listen()
 
     # Faults on command
 
     def listen(self) -> None:
         """Take connections, always on the same port."""
-        self._port = self.reactor.listenTCP(self.port, _Door(self), interface="127.0.0.1")
+        self._port = self.reactor.adoptStreamPort(self._reserved_port.listen(), socket.AF_INET, _Door(self))
 
     def note(self, kind: str, **facts: Any) -> None:
         """Record what happened here."""
@@ -151,17 +140,20 @@
     def refuse(self, on: bool) -> None:
         """Refuse new connections while the process runs."""
         self.note("refuse", on=on)
-        if on and self._port is not None:
-            self._port.stopListening()
-            self._port = None
+        if on:
+            self._stop_listening()
         elif not on and self._port is None:
             self.listen()
 
-    def stop(self) -> None:
-        """Close everything at once."""
+    def _stop_listening(self) -> None:
         if self._port is not None:
             self._port.stopListening()
             self._port = None
+            self._reserved_port.refuse()
+
+    def stop(self) -> None:
+        """Close everything at once."""
+        self._stop_listening()
         for link in list(self.links):
             link.reset()
 
