A write position from the future no longer binds its session to the primary

Callers: after one write answered with a position far ahead of the clock every later read of the session went to the primary, for as long as the token was kept, and folded into the floor it would hold for the whole group.

Cause: positions of replicas beyond the clock were dropped, a write's was taken as it came; a token never falls.

Evidence: the new test (position one hour ahead, a replica that has caught up) sent the read to server 1 where 3 is due.

Fix: a token lies at most 1 s ahead of the gateway's clock. No write commits later than its answer comes, so reads stay fresh while clocks differ by less; then replicas serve the session again. positions_ahead in the view counts.

--- a/tests/policy/test_router.py
+++ b/tests/policy/test_router.py
@@ -19,6 +19,7 @@
     Timer,
 )
 from yardbank.policy import sessions
+from yardbank.policy.sessions import MAX_CLOCK_AHEAD
 
 
 def test_session_read_follows_its_token():
@@ -38,6 +39,22 @@
     assert sent(world)[0] in (2, 3)
 
 
+# Guards against one bad answer of a server that sends all later reads of a session to the primary.
+def test_a_write_position_far_in_the_future_holds_a_sessions_reads_no_longer_than_clocks_may_differ():
+    world = World(reports="probe")
+    world.known(1, primary=True)
+    for server in (2, 3):
+        world.known(server, lag=MS)
+    world.ask("w", "commit", session="s")
+    world.end("w", 1, role=Role.PRIMARY, position=world.now + 3600 * SECOND)
+    world.known(3, lag=0)
+    world.ask("r1", "status", session="s")
+    assert sent(world) == [1]  # within the bound the server's word counts
+    world.known(3, lag=0, after=MAX_CLOCK_AHEAD + 100 * MS)
+    world.ask("r2", "status", session="s")
+    assert sent(world) == [3] and world.router.sessions.positions_ahead == 1
+
+
 def test_carried_token_and_checking_replica():
     world = World(tokens="carried", checks="refuse")
     world.ask("r", "status", since_write=400 * MS)
--- a/yardbank/gateway/view.py
+++ b/yardbank/gateway/view.py
@@ -77,6 +77,7 @@
             round(router.admission.recent_attempts, 1),
             round(router.admission.recent_successes, 1),
         ],
+        "positions_ahead": router.sessions.positions_ahead,
         "shed": {str(reason): count for reason, count in router.shed.items()},
         "share": round(router.admission.admitted_share(), 2),  # of what is asked that is let through; 1 and more: all
         "looked_at_first": len(wary),
--- a/yardbank/policy/router.py
+++ b/yardbank/policy/router.py
@@ -217,7 +217,7 @@
         """What the end of an attempt means for its request; a write's answer sets its session's token."""
         pending = attempt.pending
         if pending.request_class.read == ReadMode.WRITE and event.status == Status.OK:
-            self.sessions.on_write(pending.request, event.position or self.now)
+            self.sessions.on_write(self.now, pending.request, event.position or self.now)
         if event.status not in api.NEVER_RAN:
             pending.ran_at = pending.ran_at or attempt.sent_at
         pending.tried.add(attempt.server.id)
