An error while a watch is read ends that watch and leaves no mark behind

Callers: nothing known to have occurred; an attempt could go to a server whose drain lay unread, as the look before each send did nothing any more.

Cause: the mark "a list is being taken" was set before the octets were read and stayed if reading raised anything but ValueError.

Evidence: a watch whose reader raises RuntimeError, met by the reactor and by the look before a send: the error came out in both cases before.

Fix: the mark is cleared whatever happens; such an error is logged as list_error and ends its watch alone, as one while a list is applied does.

--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -229,3 +229,28 @@
     monkeypatch.setattr(reactor, "callLater", later)
     reactor.advance(3.1)
     assert transport.disconnecting
+
+
+# Guards against a watch that is marked as being read for good: nothing unread was looked at before a send any more.
+@pytest.mark.parametrize("by", ["reactor", "look before a send"])
+def test_an_error_of_the_program_while_a_watch_is_read_ends_that_watch_alone(by, monkeypatch):
+    reactor, watcher, got, log = watching()
+    made, _ = reactor.accept(0, HEAD)
+    unread = [chunk(LINE)]
+
+    def receive(data):
+        raise RuntimeError("an error in the program")
+
+    monkeypatch.setattr(made.watch, "receive", receive)
+    if by == "reactor":
+        made.dataReceived(chunk(LINE))
+    else:
+        monkeypatch.setattr(made, "unread", lambda: unread.pop() if unread else b"")
+        watcher.catch_up()
+    assert made.dropped and not got and "list_error" in events(log)
+    reactor.pass_time(0.5)
+    other, _ = reactor.accept(1, HEAD)
+    later = [chunk(LINE)]
+    monkeypatch.setattr(other, "unread", lambda: later.pop() if later else b"")
+    watcher.catch_up()
+    assert [listing.generation for listing in got] == [43]
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -192,8 +192,8 @@
         was_answered = watching.watch.answered
         lists: list[Listing] = []
         self._reading = True
-        problem = self._read(watching, data, lists)
         try:
+            problem = self._read(watching, data, lists)
             problem = self._apply(lists) or problem
         finally:
             self._reading = False
@@ -216,8 +216,14 @@
                     break
         except ValueError as spoilt:
             return spoilt
+        except Exception as fault:  # noqa: BLE001  # border: an error of the program ends this watch, nothing else
+            return self._program_error(fault, "read")
         return None
 
+    def _program_error(self, fault: Exception, done: str) -> ValueError:
+        self._log.error("list_error", error=repr(fault), exc_info=True)
+        return ValueError(f"it could not be {done}")
+
     def _apply(self, lists: list[Listing]) -> ValueError | None:
         """Hand lists on. Returns why they could not be applied, if so."""
         if not lists:
@@ -226,9 +232,8 @@
             self._told(joined(lists))
         except ValueError as spoilt:
             return spoilt
-        except Exception as fault:  # noqa: BLE001  # border: an error of the program must not end the watch, nor the send that looked
-            self._log.error("list_error", error=repr(fault), exc_info=True)
-            return ValueError("it could not be applied")
+        except Exception as fault:  # noqa: BLE001  # border: nor may it end the send that looked
+            return self._program_error(fault, "applied")
         return None
 
     def _rejected(self, watching: _Watching, problem: Exception) -> None:
