An attempt whose connection is lost while it is opened hears of it at once

Callers: a request that could have gone to another server waited until its deadline, where connect fails before it returns.

Cause: the loss was told to those who waited on the connection; nobody did yet, and the attempt was put to wait on it afterwards.

Evidence: a backend that loses the connection, loses it twice, or raises within connect: no end of the attempt in all three cases before.

Fix: the pool hands out what its table holds after the opening; with nothing there the attempt ends as connect_failed. The probe's own check is not needed.

--- a/tests/platform/test_server_links.py
+++ b/tests/platform/test_server_links.py
@@ -167,6 +167,38 @@
     assert ends == ["connect_failed"] and len(doors.tries) == len(reasons) and link.connections == 0
 
 
+class ShutDoors(Doors):
+    """A backend that loses each connection, or raises, before its ``connect`` returns."""
+
+    def __init__(self, reason):
+        super().__init__()
+        self.reason = reason
+
+    def connect(self, server, ready, lost):
+        super().connect(server, ready, lost)
+        if self.reason is None:
+            raise OverflowError("port must be 0-65535")
+        lost(self.reason)
+        return lambda: None
+
+
+# Guards against an attempt that waits for its deadline on a connection which was lost before anybody waited for it.
+@pytest.mark.parametrize(("reason", "tries"), [("refused", 1), (BROKE_OPENING, 2), (None, 1)])
+def test_an_attempt_or_probe_whose_connection_is_lost_while_it_is_opened_hears_of_it_at_once(reason, tries):
+    clock, ends, probed = Clock(), [], []
+    doors = ShutDoors(reason)
+    now = lambda: int(clock.seconds() * SECOND)  # noqa: E731
+    link = ServerLink(
+        ServerSpec("p", "2", "a", "h", 1, True), doors, Limits(multiplex=1), Deadlines(now, clock.callLater), now, Log()
+    )
+    link.submit(Attempt("x", now(), lambda *a: None, lambda *a: ends.append(a[0])), SECOND)
+    assert ends == ["connect_failed"] and len(doors.tries) == tries and link.connections == 0
+    link.probe(lambda position, sent_at, status: probed.append(status))
+    assert probed == ["connect_failed"] and len(doors.tries) == 2 * tries
+    clock.advance(2)
+    assert ends == probed == ["connect_failed"]
+
+
 def test_a_second_opening_has_only_what_is_left_of_the_time():
     clock, ends, doors, _ = opening()
     clock.advance(0.2)
--- a/yardbank/gateway/connection_pool.py
+++ b/yardbank/gateway/connection_pool.py
@@ -85,11 +85,11 @@
             self.lost(assignment.slot, "of no further use")
 
     def pooled(self, assignment: SlotAssignment) -> PooledConnection | None:
-        """The connection of a slot, opened if need be; None: it is gone. One just opened may be lost already."""
+        """The connection of a slot, opened if need be; None: it is gone, perhaps lost while it was being opened."""
         if assignment.slot is None:
             return None
         if assignment.opening:
-            return self.open(assignment.slot)
+            self.open(assignment.slot)
         return self.open_or_opening.get(assignment.slot)
 
     def free(self, number: int, sent_at: int, answered: bool) -> None:
@@ -102,7 +102,7 @@
 
     # Opening
 
-    def open(self, number: int, broken: PooledConnection | None = None) -> PooledConnection:
+    def open(self, number: int, broken: PooledConnection | None = None) -> None:
         """Open a connection; in place of one that broke, for what waits for that and in what is left of its time."""
         pooled = self.open_or_opening[number] = PooledConnection()
         if broken is not None:
@@ -119,7 +119,6 @@
         except Exception as problem:  # noqa: BLE001  # border: a protocol's backend; to the module it is a failed connect
             self._log.error("connect_error", server=self._server.name, error=repr(problem))
             self.lost(number, "error while connecting")
-        return pooled
 
     def _timed_out(self, number: int) -> None:
         if pooled := self.open_or_opening.get(number):
--- a/yardbank/gateway/server_link.py
+++ b/yardbank/gateway/server_link.py
@@ -16,6 +16,8 @@
 from yardbank.gateway.deadlines import Deadlines
 from yardbank.gateway.send_check import SendCheck
 
+LOST_WHILE_OPENING = "the connection was lost while it was being opened"
+
 
 class _PendingProbe:
     """One probe that is under way; ``done`` gets its position, when it went out (ns), and the status, once."""
@@ -115,7 +117,9 @@
         pooled = self._pool.pooled(assignment)
         if attempt.ended:
             return
-        assert pooled is not None
+        if pooled is None:
+            attempt.attempt_lost(LOST_WHILE_OPENING)
+            return
         pooled.waiting[attempt] = None
         if pooled.connection is not None:
             self._write(pooled, attempt)
@@ -201,10 +205,8 @@
             probe.not_connected()
         elif pooled.connection is not None:
             probe.put(pooled.connection)
-        elif assignment.slot in self._pool.open_or_opening:
+        else:
             pooled.probes.append(probe.put)
-        else:  # it was lost while it was being opened
-            probe.not_connected()
 
     def probe_ended(self, timer: int, slot: int | None, sent_at: int, status: str, answered: bool) -> None:
         """A probe is over: its timer and its slot are free."""
