A proxy whose list cannot be watched at the start leaves nothing open

Callers: connections to an embedded proxy whose start had failed were taken by the system and never answered; the store stayed locked.

Cause: sockets were closed if opening failed, not if the step behind it did.

Evidence: with a watch that raises OSError the new test could still connect.

Fix: both steps are covered; parts that had started are stopped as well.

--- a/tests/daemon/test_daemon.py
+++ b/tests/daemon/test_daemon.py
@@ -14,9 +14,13 @@
 
 from tests.support.reactor_thread import Desk, ensure_reactor, run, shown, until, world
 from tests.support.router_world import wait_for
+from yardbank.config import load_text
 from yardbank.daemon.clocks import Clocks
 from yardbank.daemon.restarts import Restarts
 from yardbank.ldap import messages as m
+from yardbank.proxy import Proxy
+from yardbank.server_list.watcher import Watcher
+from yardbank.state import Store
 from yardbank.testing.demo.world import DESK_DN, DESK_PASSWORD
 from yardbank.testing.ports import free_port
 from yardbank.testing.rig.client import connect
@@ -80,6 +84,26 @@
             process.kill()
 
 
+# Guards against a start that fails after its sockets are open and leaves them open.
+def test_a_proxy_whose_list_cannot_be_watched_at_the_start_leaves_nothing_open(tmp_path, monkeypatch):
+    port = free_port()
+    text = f'listener "ldap" {{\n  port = {port}\n}}\nbackend "ldap" {{\n}}\ngroup "g" {{\n  suffix = "dc=g"\n}}\n'
+    text += 'class "read" {\n  effect = "safe"\n  read = "session"\n  aim = "400ms"\n  deadline = "1s"\n}\n'
+    config = load_text(text + 'membership {\n  path = "list.hcl"\n}\nstate {\n  path = "state"\n}\n')
+
+    def no_watch(watcher):
+        raise OSError("no watch can be had")
+
+    monkeypatch.setattr(Watcher, "start", no_watch)
+    ensure_reactor()
+    proxy = run(lambda: Proxy(config, reactor, folder=tmp_path))
+    with pytest.raises(OSError, match="no watch"):
+        run(proxy.start)
+    with pytest.raises(ConnectionRefusedError):
+        socket.create_connection(("127.0.0.1", port), timeout=30)
+    Store(tmp_path / "state" / "worker-0").close()  # its lock is free again
+
+
 def test_settings_that_cannot_change_in_service_are_refused_whole():
     from yardbank.config import load_text
 
--- a/yardbank/proxy/lifecycle.py
+++ b/yardbank/proxy/lifecycle.py
@@ -14,7 +14,7 @@
     """When a part starts, relative to the listeners."""
 
     OPENING = "opening"  # with the listening sockets: an ``OSError`` closes them all again
-    OPENED = "opened"  # once all sockets are open, before the first connection is accepted
+    OPENED = "opened"  # once all sockets are open, before the first connection is accepted; an ``OSError`` as above
     LISTENING = "listening"  # once connections are accepted
 
 
--- a/yardbank/proxy/proxy.py
+++ b/yardbank/proxy/proxy.py
@@ -167,10 +167,11 @@
             for listener in self.config.listener:
                 sockets.append(listening_socket(listener.address, listener.port, self._workers > 1))
             self._lifecycle.start(StartPhase.OPENING)
+            self._lifecycle.start(StartPhase.OPENED)
         except OSError:
             close_sockets(sockets)
+            self._lifecycle.stop(clean=False)
             raise
-        self._lifecycle.start(StartPhase.OPENED)
         for listener, opened in zip(self.config.listener, sockets, strict=True):
             self._listen(listener, opened)
         self._lifecycle.start(StartPhase.LISTENING)
