An unknown word in registry_mode is an error that names the field

Callers: a misspelt "subscribe" counted as pushed lists, so a gateway waited for lists that nobody sends.

Cause: one comparison where every other setting is read by a table of words.

Evidence: a configuration with "push" there started; the test had to kill it.

Fix: read by a table; the start ends with code 2 and one line.

--- a/tests/platform/test_broken_settings.py
+++ b/tests/platform/test_broken_settings.py
@@ -141,6 +141,7 @@
     "a class twice": (spoilt(("settings", "services", 1, "name"), b'"look"'), "distinct names"),
     "a class without a name": (spoilt(("settings", "services", 1, "name"), b'""'), "names"),
     "unknown effect": (spoilt(("settings", "services", 1, "effect"), b'"fatal"'), "effect"),
+    "unknown registry mode": (spoilt(("settings", "registry_mode"), b'"push"'), "registry_mode"),
     "unknown read": (spoilt(("settings", "domain", "class_read", 0), b'"eager"'), "class_read"),
     "no time to connect": (spoilt(("settings", "ceilings", "connect_timeout"), b"0"), "connect_timeout"),
     "negative idle time": (spoilt(("settings", "ceilings", "idle_close"), b"-1"), "idle_close"),
--- a/yardbank/wire.py
+++ b/yardbank/wire.py
@@ -8,7 +8,7 @@
 from yardbank import interface as api
 from yardbank.interface import Effect, MemberState, ReadMode, ReplicaCheck, ReportMode, TokenMode
 
-Word = TypeVar("Word", bound=str)
+Meaning = TypeVar("Meaning")
 
 EFFECTS = {"pure": Effect.SAFE, "token": Effect.KEYED, "side_effect": Effect.UNSAFE}
 READS = {
@@ -20,6 +20,7 @@
 }
 CHECKS = {"silent": ReplicaCheck.NONE, "bounce": ReplicaCheck.REFUSE, "await": ReplicaCheck.WAIT}
 REPORTS = {"piggyback": ReportMode.ANSWERS, "pull": ReportMode.PROBE, "silent": ReportMode.NONE}
+SUBSCRIBES = {"automatic": False, "subscribe": True}  # whether lists come only to those who ask for them
 TOKENS = {"brought": TokenMode.CARRIED, "kept": TokenMode.REMEMBERED}
 STATES = {"live": MemberState.READY, "quiescing": MemberState.DRAINING, "dead": MemberState.GONE}
 LOAD_FIELDS = ("utilization", "util")  # how busy the cores are, as the wire and as the sites call it
@@ -48,7 +49,7 @@
     return value
 
 
-def word(message: Any, name: str, table: Mapping[str, Word], default: Any = MISSING) -> Word:
+def word(message: Any, name: str, table: Mapping[str, Meaning], default: Any = MISSING) -> Meaning:
     """A field whose value is one of a few words, in the interface's terms. Raises ``WireError``."""
     value = field(message, name, str, default)
     if value not in table:
@@ -103,7 +104,7 @@
         may_probe=field(limits, "probes", bool, False),
         connect_timeout=field(limits, "connect_timeout", int, 250_000_000),
         max_retry_after=field(limits, "max_retry_after", int, 0) if field(limits, "retry_after", bool, False) else 0,
-        subscribe=field(env, "registry_mode", str, "automatic") == "subscribe",
+        subscribe=word(env, "registry_mode", SUBSCRIBES, "automatic"),
         cold=field(rules, "cold", int, 0),
         cold_share=field(rules, "start_capacity", NUMBER, 1.0),
         only_draining_binds=field(rules, "dropped_stay_open", bool, False),
