The system's own limit on descriptors holds if it is below limits.sockets

Callers: resets without a word, where the process had fewer descriptors than its configuration counts on.

Cause: limits.sockets alone bounded clients and servers.

Evidence: 192 clients before a program with limits.sockets 1024 and 96 descriptors: a reset before the word; with 48 it started all the same.

Fix: the smaller number holds, descriptors_bound says so; under 64 the start ends with code 2 and one line that names the field.

--- a/tests/platform/test_race_descriptors.py
+++ b/tests/platform/test_race_descriptors.py
@@ -29,8 +29,8 @@
 ]
 
 
-def run(tmp_path, sockets, discovery, known):
-    """The program, with as many descriptors as its configuration says and no more."""
+def run(tmp_path, sockets, discovery, known, allowed=None):
+    """The program, with as many descriptors as its configuration says, or as the system allows, and no more."""
     port = free_port()
     (tmp_path / "config.json").write_bytes(
         orjson.dumps(
@@ -45,7 +45,7 @@
         )
     )
     process = subprocess.Popen(
-        [sys.executable, "-c", EXEC, str(sockets)],
+        [sys.executable, "-c", EXEC, str(allowed or sockets)],
         env={**os.environ, "NODE_CONFIG": str(tmp_path / "config.json")},
         stderr=subprocess.PIPE,
     )
@@ -152,3 +152,38 @@
         assert never not in text, text.decode()
     assert len(lines) < 200
     assert resource.getrlimit(resource.RLIMIT_NOFILE)[0] > sockets
+
+
+# Guards against a configuration that counts on more descriptors than the system gives: clients then met resets.
+def test_where_the_system_allows_fewer_descriptors_than_the_configuration_its_number_holds(tmp_path):
+    allowed = 96
+    with socket.create_server(("127.0.0.1", free_port())) as discovery:
+        known = {"generation": 41, "reset": True, "instances": []}
+        process, port, lines = run(tmp_path, 1024, discovery.getsockname()[1], known, allowed)
+        clients = []
+        try:
+            for _ in range(2 * allowed):
+                clients.append(socket.create_connection(("127.0.0.1", port), timeout=30))
+            for far in clients:
+                far.sendall(START + query(""))
+            words = [a_word(far) for far in clients]
+            process.terminate()
+            lines += process.stderr.readlines()
+            assert process.wait(30) == 0
+        finally:
+            process.kill()
+            process.wait()
+            for each in clients:
+                each.close()
+    assert all(word.endswith(READY) or b"C53300\0" in word for word in words)
+    text = b"".join(lines)
+    assert b"Too many open files" not in text and b"Could not accept" not in text and b"Traceback" not in text
+    assert b'"descriptors_bound"' in text
+
+
+def test_fewer_descriptors_than_the_program_needs_are_one_plain_error(tmp_path):
+    known = {"generation": 41, "reset": True, "instances": []}
+    process, _, lines = run(tmp_path, 1024, 9, known, allowed=48)
+    assert process.wait(30) == 2
+    (line,) = lines
+    assert line.startswith(b"yardbank: limits.sockets: ") and b"48" in line
--- a/yardbank/platform/config.py
+++ b/yardbank/platform/config.py
@@ -18,6 +18,9 @@
 MAX_SECONDS_BETWEEN = 30  # an idle connection's end, where the settings do not say
 
 
+LEAST_SOCKETS = 64
+
+
 class PlatformError(Exception):
     """The platform told something that makes no sense; the text names the variable or the field."""
 
@@ -103,7 +106,7 @@
     except ValueError:
         raise PlatformError(f"seed: {told.seed[:40]!r} is not hexadecimal") from None
     sockets = 1024 if limits.sockets is None else limits.sockets
-    if sockets < 64:
+    if sockets < LEAST_SOCKETS:
         raise PlatformError(f"limits.sockets: {sockets} is too few")
     memory = 128 if limits.memory_mb is None else limits.memory_mb
     if not 1 <= memory < LONGEST:
@@ -131,6 +134,18 @@
     )
 
 
+def usable_sockets(configured: int, allowed: int | None) -> int:
+    """How many descriptors the process may hold where the system allows so many (None: any number).
+
+    Raises ``PlatformError`` if they are too few.
+    """
+    if allowed is None or allowed >= configured:
+        return configured
+    if allowed < LEAST_SOCKETS:
+        raise PlatformError(f"limits.sockets: the system allows {allowed}, {LEAST_SOCKETS} are needed at least")
+    return allowed
+
+
 def load_config(environment: Mapping[str, str]) -> PlatformConfig:
     """What the environment names. Raises ``PlatformError`` naming the variable, or the file and its field."""
     if not (name := environment.get("NODE_CONFIG")):
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -5,6 +5,7 @@
 import gc
 import logging
 import os
+import resource
 import signal
 import sys
 import time
@@ -19,7 +20,7 @@
 from yardbank.platform import listening
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
 from yardbank.platform.backend import PlatformBackend
-from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs
+from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs, usable_sockets
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
 from yardbank.platform.signals import Signals
@@ -41,13 +42,22 @@
     """One gateway on the platform."""
 
     def __init__(
-        self, config: PlatformConfig, reactor: Any, log: Any, listen: Callable[..., Any] = listening.listen
+        self,
+        config: PlatformConfig,
+        reactor: Any,
+        log: Any,
+        listen: Callable[..., Any] = listening.listen,
+        allowed_descriptors: int | None = None,
     ) -> None:
+        """``allowed_descriptors``: by the system (None: any number). Raises ``PlatformError`` if they are too few."""
         self._listen = listen
         self.config = config
         self._reactor = reactor
         self.log = log
-        descriptors = Descriptors.of(config.sockets)
+        sockets = usable_sockets(config.sockets, allowed_descriptors)
+        if sockets < config.sockets:
+            log.warning("descriptors_bound", configured=config.sockets, allowed=sockets)
+        descriptors = Descriptors.of(sockets)
         settings = config.settings
         longest_deadline = max(each.deadline for each in settings.classes)
         self._stop_schedule = StopSchedule.of(longest_deadline)
@@ -197,6 +207,11 @@
     return structlog.get_logger()
 
 
+def _allowed_descriptors() -> int | None:
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return None if allowed == resource.RLIM_INFINITY else allowed
+
+
 def main(signals: Signals) -> int:
     """Serve until told to stop; the exit code. Signals that came meanwhile are carried out once it serves."""
     log = _log()
@@ -210,9 +225,12 @@
 
     reactor: Any = installed
     reactor.seconds = time.monotonic  # timers must not move when the wall clock is set
-    service = Service(config, reactor, log)
     try:
+        service = Service(config, reactor, log, allowed_descriptors=_allowed_descriptors())
         service.start()
+    except PlatformError as problem:
+        print(f"yardbank: {problem}", file=sys.stderr)
+        return 2
     except CannotListenError as problem:
         print(f"yardbank: NODE_LISTEN: {problem}", file=sys.stderr)
         return 2
