What all clients together may occupy fits the gateway's memory limit

Callers: the platform kills a gateway over its memory limit, and all of its clients lose their connections. Read in the code, now forced; not seen before.

Cause: queries and held answers were bounded for each connection, not over all.

Fix: a budget over all connections. One whose next message does not fit by its announced length is not read until others are answered; whoever waits goes on in order, no further command of a pipeline is begun meanwhile.

--- a/benchmarks/scale/decisions.py
+++ b/benchmarks/scale/decisions.py
@@ -14,6 +14,7 @@
 from yardbank.interface import Member, Outcome, Request, RequestClass, Role, Send, ServerList, Settings
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors
 from yardbank.platform.front import ClientFactory
+from yardbank.platform.memory_budget import MemoryBudget
 from yardbank.policy import Router
 
 MS = 1_000_000
@@ -174,7 +175,12 @@
     )
     kinds = {kind.name: kind for kind in CLASSES}
     factory = ClientFactory(
-        gateway, Admission(AdmissionLimits()), Descriptors.of(4 * connections + 400), kinds, SilentLog()
+        gateway,
+        Admission(AdmissionLimits()),
+        Descriptors.of(4 * connections + 400),
+        kinds,
+        SilentLog(),
+        MemoryBudget.of(64),
     )
     start = b"\0\0\0\x25\0\x03\0\0user\0backend\0database\0store\0\0"
 
--- a/tests/support/drawn_platform_play.py
+++ b/tests/support/drawn_platform_play.py
@@ -23,6 +23,7 @@
 from yardbank.platform.config import read_config, specs
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import parse_listing
+from yardbank.platform.memory_budget import MemoryBudget
 
 START_AT = 1_767_225_600
 _STATEMENT = re.compile(rb"/\* id=([^,]+),c=([^,]+),d=([0-9]+),cluster=([0-9]+)(,after=[0-9]+)? \*/ (SELECT|INSERT)")
@@ -98,7 +99,12 @@
         )
         self.gateway.apply_list(specs(config.known), 1)
         self.factory = ClientFactory(
-            self.gateway, Admission(AdmissionLimits()), Descriptors(90, 0), self.kinds, self.log
+            self.gateway,
+            Admission(AdmissionLimits()),
+            Descriptors(90, 0),
+            self.kinds,
+            self.log,
+            MemoryBudget.of(64),
         )
         self.refusing, self.clients, self.servers, self.asked = set(), {}, [], 0
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -20,6 +20,7 @@
     load_config,
 )
 from yardbank.platform.front import ClientFactory
+from yardbank.platform.memory_budget import MemoryBudget
 from yardbank.platform.service import Service
 from yardbank.testing.ports import free_port
 
@@ -172,7 +173,8 @@
         copies = [ServerSpec(f"r{n}" if n else "r", "2", "a", "h", 2 + n) for n in range(replicas)]
         self.gateway.apply_list([ServerSpec("p", "2", "a", "h", 1, True), *copies])
         descriptors = Descriptors(connections, 0)
-        self.factory = ClientFactory(self.gateway, Admission(AdmissionLimits()), descriptors, KINDS, self.log)
+        memory = MemoryBudget.of(64)
+        self.factory = ClientFactory(self.gateway, Admission(AdmissionLimits()), descriptors, KINDS, self.log, memory)
 
     def connect(self, first=START):
         made, transport = self.factory.buildProtocol(None), StringTransport()
--- a/yardbank/pg/state.py
+++ b/yardbank/pg/state.py
@@ -106,6 +106,11 @@
         """Octets kept of a message that is not whole."""
         return self._framer.waiting
 
+    @property
+    def announced(self) -> int:
+        """Octets of the message under way when it is whole."""
+        return self._framer.announced
+
     def take_output(self) -> bytes:
         """What is to be written now."""
         found, self._out = bytes(self._out), bytearray()
--- a/yardbank/pg/wire.py
+++ b/yardbank/pg/wire.py
@@ -47,6 +47,14 @@
         """Octets kept of a frame that is not whole."""
         return len(self._buffer)
 
+    @property
+    def announced(self) -> int:
+        """Octets of the frame under way when it is whole, as far as its length has come."""
+        head = 0 if self._startup else 1
+        if len(self._buffer) < head + 4:
+            return len(self._buffer)
+        return head + int.from_bytes(self._buffer[head : head + 4], "big")
+
     def started(self) -> None:
         """The first message was a start-up: from here on each has its type."""
         self._startup = False
--- a/yardbank/platform/client.py
+++ b/yardbank/platform/client.py
@@ -24,6 +24,8 @@
 # Commands of one connection that are not answered in their turn yet: at either bound no more is read.
 MAX_QUEUED, MAX_QUEUED_OCTETS = 256, 256 << 10
 RESUME_QUEUED, RESUME_OCTETS = MAX_QUEUED // 2, MAX_QUEUED_OCTETS // 2  # below both it is read again
+COPIES = 2  # of a query's octets that are kept: as read, and as sent on
+COMMAND_MEMORY = 1024  # octets that a command occupies besides its text
 
 
 @dataclass(slots=True, frozen=True)
@@ -61,6 +63,20 @@
         """Whether so little waits that reading goes on."""
         return len(self.pipeline) <= RESUME_QUEUED and self.pipeline.unanswered_octets <= RESUME_OCTETS
 
+    @property
+    def occupied(self) -> int:
+        """Octets of memory that the client's commands and their answers occupy, with what was read of the next."""
+        return self._occupied_by_commands() + self._end.waiting
+
+    @property
+    def wanted(self) -> int:
+        """The same once the message under way is a command."""
+        return self._occupied_by_commands() + COPIES * self._end.announced
+
+    def _occupied_by_commands(self) -> int:
+        pipeline = self.pipeline
+        return COMMAND_MEMORY * len(pipeline) + COPIES * pipeline.unanswered_octets + pipeline.held_octets
+
     def receive(self, data: bytes, now: int) -> Received:
         """Take octets in any split; the time of each command that they complete counts from ``now`` (ns)."""
         hurried: list[Command] = []
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -190,14 +190,28 @@
             super().asked_meanwhile()
 
     def _regulate_reading(self) -> None:
-        """Stop reading where too much waits, go on where little does; an end that waits has to hear of octets."""
+        """Stop reading where too much waits, here or in all; go on where little does.
+
+        An end that waits has to hear of octets, so a connection that owes nothing is always read.
+        """
+        fits = self.factory.occupies(self.number, self._session.occupied, self._session.wanted)
         if self._session.full and not self._paused:
-            self._paused = True
             self.factory.queue_bound(len(self._session.pipeline))
-            self.transport.pauseProducing()
+        if self._session.full or not fits:
+            self._stop_reading()
         elif self._session.roomy:
             self._read_on()
 
+    def memory_freed(self) -> None:
+        """It waited for memory, and there is some."""
+        if self._closing.serves:
+            self._regulate_reading()
+
+    def _stop_reading(self) -> None:
+        if not self._paused:
+            self._paused = True
+            self.transport.pauseProducing()
+
     def _step(self) -> bool:
         """One step with the commands; whether there was one."""
         pipeline = self._session.pipeline
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -15,6 +15,7 @@
 from yardbank.platform.admission import Admission, Descriptors, State, may_pipeline
 from yardbank.platform.closing import LINGER
 from yardbank.platform.connection import STOPPING, ClientConnection
+from yardbank.platform.memory_budget import MemoryBudget
 
 COME_AGAIN = 250 * MS  # told to a connection for which there is no room
 LOG_EVERY = 1000 * MS  # of what clients can cause at will
@@ -32,12 +33,15 @@
         descriptors: Descriptors,
         request_classes: dict[str, RequestClass],
         log: Any,
+        memory: MemoryBudget,
     ) -> None:
         self.gateway = gateway
         self.admission = admission
         self.request_classes = request_classes
         self._log = log
         self._descriptors = descriptors
+        self._memory = memory
+        self._is_resuming = False
         self.come_again = min(gateway.settings.max_retry_after, COME_AGAIN) // MS
         self.open_ids: set[str] = set()
         self.stopping = False
@@ -96,7 +100,7 @@
     def has_room_for_more(self) -> bool:
         """Whether a connection may have more than one request open now."""
         for_servers = self._descriptors.for_servers(self.held)
-        return may_pipeline(self.gateway.unanswered, for_servers)
+        return not self._memory.is_full and may_pipeline(self.gateway.unanswered, for_servers)
 
     def became(self, connection: ClientConnection, state: State) -> None:
         """What a connection is about now."""
@@ -105,9 +109,35 @@
         if state is State.IDLE:
             self.admission.served(connection.number, now)
 
+    def occupies(self, number: int, occupied: int, wanted: int) -> bool:
+        """What a connection occupies of memory, and wants; whether that fits with what all others do."""
+        used = self._memory.used
+        fits = self._memory.take(number, occupied, wanted)
+        if not fits:
+            self._warn("client_memory_bound", limit=self._memory.limit)
+        if self._memory.used < used:
+            self._resume_waiting()
+        return fits
+
+    def _resume_waiting(self) -> None:
+        """Octets are free: connections that wait for them go on."""
+        if self._is_resuming:
+            return
+        self._is_resuming = True
+        try:
+            for number in self._memory.waiting():
+                self._connections[number].memory_freed()
+        finally:
+            self._is_resuming = False
+
+    def _release_memory(self, number: int) -> None:
+        self._memory.release(number)
+        self._resume_waiting()
+
     def closes(self, connection: ClientConnection) -> None:
         """Nothing of a connection is served any more; it holds its descriptor until it has left."""
         self.admission.left(connection.number)
+        self._release_memory(connection.number)
         self._closing.setdefault(connection.number, self.gateway.now())
 
     def lingers(self, connection: ClientConnection) -> None:
@@ -120,6 +150,7 @@
         self.admission.left(connection.number)
         self._closing.pop(connection.number, None)
         self._connections.pop(connection.number, None)
+        self._release_memory(connection.number)
         when_room, self._when_room = self._when_room, None
         if when_room is not None:
             when_room()
--- a/yardbank/platform/pipeline.py
+++ b/yardbank/platform/pipeline.py
@@ -83,6 +83,11 @@
         """Octets of text of the commands that are not answered."""
         return self._unanswered_octets
 
+    @property
+    def held_octets(self) -> int:
+        """Octets of answers that wait for those before them."""
+        return self._held_octets
+
     def add(self, operation: Operation, size: int, now: int) -> list[Command]:
         """Take a command that was read at ``now``. Returns those before it that are due earlier because of it.
 
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -23,6 +23,7 @@
 from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs, usable_sockets
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
+from yardbank.platform.memory_budget import MemoryBudget
 from yardbank.platform.signals import Signals
 from yardbank.platform.statement import out_of_reach
 from yardbank.platform.stop_schedule import LONGEST_GRACE, StopSchedule
@@ -92,6 +93,7 @@
             descriptors,
             {each.name: each for each in settings.classes},
             log,
+            MemoryBudget.of(config.memory_mb),
         )
         self.watcher = Watcher(config.discovery, config.known.generation, self._listed, reactor, log)
         self._port: Any = None
