Signals in the interpreter's last moment no longer change the exit code

Callers: none; operators saw -15, -2 or -1 from a gateway that ended in order.

Cause: the interpreter's end puts the system's default in place of handlers that are functions, and a signal after that kills the process.

A module that sends the signal as it is taken down: killed by all three before.

Fix: the three signals are ignored once the event loop has ended.

--- a/tests/platform/test_race_signals.py
+++ b/tests/platform/test_race_signals.py
@@ -61,6 +61,29 @@
     assert events.count("stop_asked") == 1 and events.count("reloaded") == numbers.count(HUP)
 
 
+LAST_MOMENT = """
+import os, sys
+
+class LastMoment:
+    def __del__(self, kill=os.kill, own=os.getpid()):
+        kill(own, {number})
+
+sys.modules["last_moment"] = LastMoment()
+"""
+
+
+# Guards against a signal that kills the process while it ends in good order: its exit code told of a crash.
+@pytest.mark.parametrize("number", [TERM, INT, HUP], ids=str)
+def test_a_signal_in_the_interpreters_last_moment_changes_nothing_about_the_exit_code(tmp_path, monkeypatch, number):
+    """The process sends itself the signal when its modules are taken down, which is after its handlers were."""
+    (tmp_path / "sitecustomize.py").write_text(LAST_MOMENT.format(number=int(number)))
+    monkeypatch.setenv("PYTHONPATH", str(tmp_path))
+    process, _, _, _ = serving(tmp_path, 9)
+    process.send_signal(TERM)
+    log = process.stderr.read()
+    assert process.wait(60) == 0 and b'"ended"' in log
+
+
 HEAVY = ("twisted", "structlog", "msgspec", "zope", "yardbank.policy", "yardbank.interface", "yardbank.gateway")
 
 
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -241,4 +241,5 @@
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)  # requests are short-lived: a sweep at each 700 objects costs a tenth
     reactor.run(installSignalHandlers=False)
+    signals.ignore()
     return 0
--- a/yardbank/platform/signals.py
+++ b/yardbank/platform/signals.py
@@ -24,6 +24,14 @@
         for number in NUMBERS:
             signal.signal(number, lambda number, frame: self._act(number))
 
+    def ignore(self) -> None:
+        """All is done: from now on none of them changes how the process ends.
+
+        The interpreter's own end puts the system's default back in place of a function, and that would kill it.
+        """
+        for number in NUMBERS:
+            signal.signal(number, signal.SIG_IGN)
+
     def _keep(self, number: int) -> None:
         if number not in self._kept:  # again is once
             self._kept.append(number)
