A seeded soak of the platform's program, and a judge of what crossed its sockets

The judge reads frames of all sides: one final answer in time, no effect twice, drains, departed clients, time told, exit, log, memory, descriptors. Cold servers and the age of reads are not judged.

Why: faults of the end and of the process met only tests that name them.

Four faults put into the program were each found: dropped answers, ignored drains, writes sent twice, requests forwarded for clients that had left.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv-dev
 PY := $(VENV)/bin/python
 
-.PHONY: demo test lint rig bench sites clean
+.PHONY: demo test lint rig soak bench sites clean
 
 $(VENV)/ready: pyproject.toml
 	test -d $(VENV) || python3 -m venv $(VENV)
@@ -24,6 +24,14 @@
 rig: $(VENV)/ready
 	YARDBANK_EVERY_SCENARIO=1 $(PY) -m pytest -q -n 4 tests/testing/rig/test_fleet.py tests/testing/rig/test_rare_moments.py tests/testing/rig/test_seeded_faults.py tests/cluster/list_distribution/test_processes.py
 
+# SEEDS: how many, from FIRST on; frames of those that fail are kept in KEEP.
+SEEDS ?= 50
+FIRST ?= 1000
+KEEP ?= /tmp/yardbank-soak
+soak: $(VENV)/ready
+	YARDBANK_EVERY_SCENARIO=1 $(PY) -m pytest -q -n 2 tests/testing/soak
+	$(PY) -m yardbank.testing.soak --keep $(KEEP) $(FIRST) $$(($(FIRST) + $(SEEDS) - 1))
+
 bench: $(VENV)/ready
 	$(PY) -m pip -q install --disable-pip-version-check -e '.[dev,bench]'
 	$(PY) -m benchmarks
--- /dev/null
+++ b/tests/support/soak_program.py
@@ -0,0 +1,62 @@
+"""The platform's program with a fault put in, for the soak's judge to find: SOAK_FAULT names it.
+
+``python -m tests.support.soak_program`` is run in place of ``python -m yardbank.platform``.
+"""
+
+import os
+import sys
+from itertools import count
+
+from yardbank.platform.signals import Signals
+
+EVERY = 40  # answers of which one is dropped
+
+
+def drops_answers():
+    """One answer in so many never reaches its client."""
+    from yardbank.platform.connection import ClientConnection
+
+    answer, numbers = ClientConnection.answer, count(1)
+
+    def drop_some(self, command, octets):
+        if next(numbers) % EVERY:
+            answer(self, command, octets)
+
+    ClientConnection.answer = drop_some
+
+
+def ignores_drains():
+    """A server that drains counts as ready."""
+    from yardbank.platform import listing
+
+    listing.STATES["Terminating"] = "ready"
+
+
+def sends_writes_twice():
+    """A write is sent again whatever became of it."""
+    from yardbank.gateway import send_check
+    from yardbank.policy.router import Router
+
+    send_check.check_repeat = lambda request, now: None
+    Router.may_resend = lambda self, pending: pending.attempts < 3
+
+
+def forwards_for_the_departed():
+    """What a client has left open is sent on all the same."""
+    from yardbank.platform.connection import ClientConnection
+
+    ClientConnection.present = lambda self: True
+    ClientConnection._withdraw = lambda self: None
+
+
+FAULTS = {
+    each.__name__: each for each in (drops_answers, ignores_drains, sends_writes_twice, forwards_for_the_departed)
+}
+
+if __name__ == "__main__":
+    signals = Signals()
+    signals.install()
+    FAULTS[os.environ["SOAK_FAULT"]]()
+    from yardbank.platform.service import main
+
+    sys.exit(main(signals))
--- /dev/null
+++ b/yardbank/testing/soak/play.py
@@ -0,0 +1,260 @@
+"""Plays one seed: the program as a process, everything it speaks to, signals, and the kill."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import re
+import signal
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from yardbank.testing.ports import free_port
+from yardbank.testing.soak.clients import Clients
+from yardbank.testing.soak.discovery import Discovery
+from yardbank.testing.soak.frames import Play, Process
+from yardbank.testing.soak.plan import (
+    ARRIVALS_AFTER,
+    DiscoveryStep,
+    Plan,
+    ServerFault,
+    ServerStep,
+    SignalStep,
+)
+from yardbank.testing.soak.servers import Server
+
+TICK = 0.01  # seconds between two looks at the recorder's own clock
+LEAST_GAP = 0.03  # beyond the tick: the recorder was held up
+SAMPLE_EVERY = 0.2  # seconds between two looks at the process
+NANOSECONDS = 10**9
+
+
+def settings(plan: Plan) -> dict[str, Any]:
+    """The decision module's settings, in the platform's words."""
+    services = []
+    for name, deadline in plan.deadlines.items():
+        nanoseconds = int(deadline * NANOSECONDS)
+        effect = plan.effect if name == "commit" else "pure"
+        services.append(
+            {
+                "name": name,
+                "aim": nanoseconds // 2,
+                "hard_limit": nanoseconds,
+                "effect": effect,
+                "key_scope": "cell",
+                "window": int(plan.window * NANOSECONDS) if effect == "token" else 0,
+                "credit": 1.0,
+                "late_worth": 0.3,
+            }
+        )
+    return {
+        "domain": {
+            "checks": "bounce",
+            "class_read": ["lag_bound", "mutate"],
+            "lag_allowed": [NANOSECONDS, 0],
+            "session_marks": "brought",
+        },
+        "services": services,
+        "ceilings": {
+            "max_attempts": 4,
+            "cancel": True,
+            "connect_timeout": NANOSECONDS // 4,
+            "idle_close": 20 * NANOSECONDS,
+            "retry_after": True,
+            "max_retry_after": NANOSECONDS,
+        },
+    }
+
+
+class Player:
+    """One play."""
+
+    def __init__(self, plan: Plan, module: str = "yardbank.platform") -> None:
+        """``module`` is run as the program."""
+        self._plan = plan
+        self._module = module
+        self._port = free_port()
+        self._begin = 0.0
+        self._process: asyncio.subprocess.Process | None = None
+        self._listening = asyncio.Event()
+        process = Process(0.0, 0.0, memory_limit_mb=plan.memory_mb, descriptor_limit=plan.sockets)
+        self.play = Play(plan.seed, process, plan.window)
+        self._servers = [
+            Server(f"s-{number}", number == 0, plan.service_time, self.play.attempts.append)
+            for number in range(plan.servers)
+        ]
+        self._discovery = Discovery([], self.play.drains.append)
+        self._clients = Clients(plan, self.play, self._port)
+
+    async def run(self) -> Play:
+        """Play it; everything that was started has ended when this returns."""
+        for server in self._servers:
+            await server.listen()
+        self._discovery.instances = [self._instance(server) for server in self._servers]
+        await self._discovery.listen()
+        with tempfile.TemporaryDirectory(prefix="soak-") as folder:
+            try:
+                await self._start(Path(folder) / "config.json")
+                await self._play_out()
+            finally:
+                self._end()
+        await self._until_ended()
+        return self.play
+
+    def _instance(self, server: Server) -> dict[str, Any]:
+        return {
+            "instanceId": server.name,
+            "hostPort": f"127.0.0.1:{server.port}",
+            "zone": "a",
+            "cell": 3,
+            "lifecycle": "Ready",
+            "part": "master" if server.is_primary else "replica",
+            "weight": 1.0,
+            "startedAtMs": 0,
+        }
+
+    async def _start(self, file: Path) -> None:
+        document = {
+            "name": "soak",
+            "listen": f"127.0.0.1:{self._port}",
+            "discovery": f"127.0.0.1:{self._discovery.port}",
+            "seed": f"{self._plan.seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": self._plan.memory_mb, "sockets": self._plan.sockets},
+            "settings": settings(self._plan),
+            "known": self._discovery.document(),
+        }
+        file.write_text(json.dumps(document))
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            self._module,
+            env={**os.environ, "NODE_CONFIG": str(file)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self._log_read = asyncio.create_task(self._read_log())
+        await asyncio.wait_for(self._listening.wait(), 60)
+        self._begin = time.monotonic()
+
+    async def _read_log(self) -> None:
+        assert self._process is not None and self._process.stderr is not None
+        async for line in self._process.stderr:
+            self.play.process.log.append(line.decode(errors="replace").rstrip())
+            if b'"listening"' in line:
+                self._listening.set()
+
+    async def _play_out(self) -> None:
+        plan, process = self._plan, self.play.process
+        process.terminated_at = self._begin + plan.terminate_at
+        process.kill_at = self._begin + plan.kill_at
+        tasks = [asyncio.create_task(each) for each in self._parts()]
+        await self._at(plan.terminate_at + ARRIVALS_AFTER)
+        self._clients.takes_new = False
+        await self._at(plan.kill_at)
+        self._clients.stopped = True
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _parts(self) -> list[Any]:
+        plan = self._plan
+        return [
+            self._watch_clock(),
+            self._watch_process(),
+            self._await_exit(),
+            *(self._clients.play(number, behaviour) for number, behaviour in enumerate(plan.clients)),
+            *(self._clients.rest(number) for number in range(plan.crowd)),
+            *(self._play_server(step) for step in plan.server_steps),
+            *(self._play_discovery(step) for step in plan.discovery_steps),
+            *(self._play_signal(step) for step in plan.signals),
+        ]
+
+    async def _at(self, seconds: float) -> None:
+        await asyncio.sleep(max(0.0, self._begin + seconds - time.monotonic()))
+
+    async def _play_server(self, step: ServerStep) -> None:
+        server = self._servers[step.server]
+        await self._at(step.at)
+        if step.fault is ServerFault.DRAIN:
+            self._discovery.drain(server.name)
+            return
+        server.faults.add(step.fault)
+        await self._at(step.at + step.lasts)
+        server.faults.discard(step.fault)
+        server.recovered.set()
+
+    async def _play_discovery(self, step: DiscoveryStep) -> None:
+        await self._at(step.at)
+        self._discovery.begin(step.fault)
+        await self._at(step.at + step.lasts)
+        self._discovery.end(step.fault)
+
+    async def _play_signal(self, step: SignalStep) -> None:
+        await self._at(step.at)
+        first_end = step.name == "SIGTERM" and not self._clients.terminated.is_set()
+        if first_end:
+            self.play.process.terminated_at = time.monotonic()
+            self.play.process.kill_at = self.play.process.terminated_at + self._plan.kill_at - self._plan.terminate_at
+        self._signal(signal.Signals[step.name])
+        if first_end:
+            self._clients.terminated.set()
+        if step.name == "SIGSTOP":
+            await self._at(step.at + step.lasts)
+            self._signal(signal.SIGCONT)
+
+    def _signal(self, number: signal.Signals) -> None:
+        """Not by the process's own method, which looks whether it has ended and then takes the exit code along."""
+        assert self._process is not None
+        if self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self._process.pid, number)
+
+    async def _await_exit(self) -> None:
+        assert self._process is not None
+        code = await self._process.wait()
+        self.play.process.ended_at, self.play.process.exit_code = time.monotonic(), code
+
+    async def _watch_clock(self) -> None:
+        """Note when this process itself was held up: the times that it records are late then."""
+        before = time.monotonic()
+        while True:
+            await asyncio.sleep(TICK)
+            now = time.monotonic()
+            if now - before > TICK + LEAST_GAP:
+                self.play.clock_gaps.append((now, now - before))
+            before = now
+
+    async def _watch_process(self) -> None:
+        assert self._process is not None
+        folder, process = Path(f"/proc/{self._process.pid}"), self.play.process
+        while True:
+            try:
+                found = re.search(r"VmHWM:\s+(\d+) kB", (folder / "status").read_text())
+                process.most_descriptors = max(process.most_descriptors, len(list((folder / "fd").iterdir())))
+            except OSError:
+                return
+            if found is not None:
+                process.peak_memory_mb = max(process.peak_memory_mb, int(found[1]) * 1024 / 1e6)
+            await asyncio.sleep(SAMPLE_EVERY)
+
+    def _end(self) -> None:
+        """The earliest kill; then the stand-ins go."""
+        if self._process is not None:
+            self._signal(signal.SIGKILL)
+        for server in self._servers:
+            server.close()
+        self._discovery.close()
+
+    async def _until_ended(self) -> None:
+        if self._process is not None:
+            await self._process.wait()
+            await self._log_read
+
+
+def play_seed(plan: Plan, module: str = "yardbank.platform") -> Play:
+    """Play a plan to its end."""
+    return asyncio.run(Player(plan, module).run())
