Log roles with their evidence, changed list entries, failed attempts and refusals with ids

Cause: the logs of the incident could not say which role a gateway held for a server and why, what a list changed, or which request was refused, sent again or ended at which server. Change: server_role_changed (list, answer, report or start as evidence), list_entries, attempt_failed and request_not_served with the request, the client's id and the reason. Refuse and Fail carry the reason for the log only. No decision changes.

--- a/yardbank/gateway/attempt_runner.py
+++ b/yardbank/gateway/attempt_runner.py
@@ -247,6 +247,14 @@
             failure = _DIGITS.sub("#", f"{status}: {reason}"[:MAX_REASON_CHARS])
             if failure in self.failure_counts or len(self.failure_counts) < MAX_FAILURE_KINDS:
                 self.failure_counts[failure] += 1
+            self._context.request_log.info(
+                "attempt_failed",
+                request=request.id,
+                attempt=number,
+                server=server,
+                status=status,
+                reason=reason[:MAX_REASON_CHARS],
+            )
         if self._context.record:
             self._context.record_event("attempt_end", id=request.id, attempt=number, server=server, status=status)
         if self._context.debug_enabled:
--- a/yardbank/gateway/context.py
+++ b/yardbank/gateway/context.py
@@ -9,6 +9,7 @@
 from yardbank import interface as api
 from yardbank.gateway.api import Limits
 from yardbank.gateway.deadlines import Deadlines
+from yardbank.gateway.limited_log import LimitedLog
 
 Record = Callable[[dict[str, Any]], None]
 
@@ -23,6 +24,7 @@
     deadlines: Deadlines
     reactor: Any
     log: Any
+    request_log: LimitedLog  # for lines that requests cause
     debug_enabled: bool  # whether debug logging is enabled; debug events are not built otherwise
     record: Record | None
 
--- a/yardbank/gateway/endpoint_set.py
+++ b/yardbank/gateway/endpoint_set.py
@@ -36,10 +36,28 @@
     return (old.host, old.port, old.group, old.zone) != (new.host, new.port, new.group, new.zone)
 
 
+def _describe_change(old: ServerSpec | None, new: ServerSpec) -> str:
+    """Describe a changed entry for the log: name, state, role and start, and which of them changed."""
+    role = "primary" if new.primary else "replica"
+    text = f"{new.name} {new.state} {role}"
+    if new.started:
+        text += f" started {new.started:.3f}"
+    if old is None:
+        return f"{text}: new"
+    pairs = {
+        "state": old.state == new.state,
+        "role": old.primary == new.primary,
+        "start": old.started == new.started,
+        "address": (old.host, old.port) == (new.host, new.port),
+    }
+    return f"{text}: {', '.join(name for name, is_same in pairs.items() if not is_same) or 'other fields'}"
+
+
 @dataclass(slots=True)
 class _ListChange:
     """A server list update while it is being applied."""
 
+    entries: list[str] = field(default_factory=list)  # what changed, for the log
     members: list[api.Member] = field(default_factory=list)
     left_group: list[api.Member] = field(default_factory=list)  # still listed, but as a different server to the router
     removed: list[str] = field(default_factory=list)
@@ -90,6 +108,16 @@
         self._last_invalidation: dict[int, int] = {}  # list number by server, see ``last_invalidation``
         self._idle_timer: int | None = None
 
+    def log_role_change(self, number: int, primary: bool, evidence: api.RoleEvidence) -> None:
+        """Log what the router now believes of a server's role, and on what evidence."""
+        link = self.links.get(number)
+        self._context.request_log.info(
+            "server_role_changed",
+            server=link.server.name if link else str(number),
+            primary=primary,
+            evidence=str(evidence),
+        )
+
     # State kept across restarts
 
     def restarted(self, floor_now: bool, floors: Mapping[str, Mapping[str, LogPosition]]) -> None:
@@ -167,6 +195,8 @@
             changed=len(change.members),
             gone=change.removed[:MAX_NAMES_LOGGED],
         )
+        if change.entries:
+            self._context.log.info("list_entries", version=version, entries=change.entries[:MAX_NAMES_LOGGED])
         self._notify_router(change, is_first)
         for name in change.removed:
             number = self.server_numbers[name]
@@ -198,6 +228,7 @@
             started = self._start_times[number]  # the same start keeps its time even if the wall clock steps
         self._start_times[number] = started
         change.members.append(api.Member(number, spec.zone, group, spec.primary, spec.state, started, spec.weight))
+        change.entries.append(_describe_change(old, spec))
         self.specs[spec.name] = spec
 
     def _detach_old_entry(self, change: _ListChange, number: int, old: ServerSpec, spec: ServerSpec) -> None:
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -32,6 +32,7 @@
 from yardbank.gateway.ending import allowed_time, is_near_limit
 from yardbank.gateway.endpoint_set import EndpointSet, LatencyListener
 from yardbank.gateway.event_queue import EventQueue
+from yardbank.gateway.limited_log import LimitedLog
 from yardbank.gateway.positions import Positions
 from yardbank.gateway.prober import ProbeDone, Prober
 from yardbank.gateway.request import InFlightRequest
@@ -89,6 +90,7 @@
             deadlines=self._deadlines,
             reactor=reactor,
             log=self.log,
+            request_log=LimitedLog(self.log, self._clock.now),
             debug_enabled=is_enabled_for is None or is_enabled_for(logging.DEBUG),
             record=record,
         )
@@ -105,6 +107,7 @@
             before_send=before_send,
             on_removed=self._server_removed,
         )
+        self._router.table.on_role_change = self._endpoints.log_role_change
         self._prober = Prober(
             context, self._router, self._events, self._endpoints, self._positions, lambda: self.stopping
         )
@@ -346,12 +349,12 @@
 
     def _refuse(self, action: api.Refuse, cause: api.Event) -> None:
         if (request := self._open_request(action, cause, action.id)) is not None:
-            self._responder.refuse(request, action.retry_after, "turned away")
+            self._responder.refuse(request, action.retry_after, "turned away", action.reason)
             self._responder.withdraw(request)
 
     def _fail(self, action: api.Fail, cause: api.Event) -> None:
         if (request := self._open_request(action, cause, action.id)) is not None:
-            self._responder.fail(request, "no answer that can be relied on")
+            self._responder.fail(request, "no answer that can be relied on", action.reason)
             self._responder.withdraw(request)
 
     def _open_request(self, action: api.Action, cause: api.Event, number: str) -> InFlightRequest | None:
--- a/yardbank/gateway/responder.py
+++ b/yardbank/gateway/responder.py
@@ -148,17 +148,19 @@
         self.finish(request, "served", server)
         self._call_sink(request, lambda: request.call.sink.served(payload))
 
-    def refuse(self, request: InFlightRequest, retry_after: int, reason: str) -> None:
-        """Refuse a request, or serve the payload of a replica's miss. ``retry_after``: ns."""
+    def refuse(self, request: InFlightRequest, retry_after: int, reason: str, cause: str = "") -> None:
+        """Refuse a request, or serve the payload of a replica's miss. ``retry_after``: ns; ``cause``: for the log."""
         if request.miss_payload is not None:  # an allowed replica answered, and no server differed
             self.serve(request, request.miss_payload)
             return
         self.finish(request, "refused", "")
+        self._log_not_served(request, "refused", cause or reason)
         self._call_sink(request, lambda: request.call.sink.refused(retry_after, reason))
 
-    def fail(self, request: InFlightRequest, reason: str) -> None:
-        """Fail a request, which may or may not have run."""
+    def fail(self, request: InFlightRequest, reason: str, cause: str = "") -> None:
+        """Fail a request, which may or may not have run. ``cause``: for the log."""
         self.finish(request, "failed", "")
+        self._log_not_served(request, "failed", cause or reason)
         self._call_sink(request, lambda: request.call.sink.failed(reason))
 
     def end(self, request: InFlightRequest, reason: str) -> None:
@@ -210,6 +212,17 @@
             when = "held"
         self.refused_by_class[f"{request.request_class.name} {when}"] += 1
 
+    def _log_not_served(self, request: InFlightRequest, answer: str, reason: str) -> None:
+        self._context.request_log.info(
+            "request_not_served",
+            request=request.id,
+            operation=request.call.label or self._backend.describe(request.call.operation),
+            answer=answer,
+            reason=reason,
+            attempts=request.attempts,
+            ms=round((self._context.now() - request.taken_at) / 1e6, 1),
+        )
+
     def _log_answer(self, request: InFlightRequest, answer: str, server: str, took: int) -> None:
         self._context.log.info(
             "answer",
--- a/yardbank/interface/__init__.py
+++ b/yardbank/interface/__init__.py
@@ -44,6 +44,7 @@
     ReplicaCheck,
     ReportMode,
     Role,
+    RoleEvidence,
     Status,
     TokenMode,
 )
@@ -76,6 +77,7 @@
     "Request",
     "RequestClass",
     "Role",
+    "RoleEvidence",
     "Send",
     "ServerList",
     "SetTimer",
--- a/yardbank/interface/actions.py
+++ b/yardbank/interface/actions.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 @dataclass(slots=True, frozen=True)
@@ -20,6 +20,7 @@
 
     id: str
     retry_after: int = 0
+    reason: str = field(default="", repr=False, compare=False)  # for the log
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,6 +28,7 @@
     """Final answer: the request failed and may or may not have taken effect."""
 
     id: str
+    reason: str = field(default="", repr=False, compare=False)  # for the log
 
 
 @dataclass(slots=True, frozen=True)
--- a/yardbank/interface/values.py
+++ b/yardbank/interface/values.py
@@ -16,6 +16,15 @@
     REPLICA = 2
 
 
+class RoleEvidence(StrEnum):
+    """What a belief on a server's role rests on."""
+
+    LIST = "list"  # the server list, which is late
+    ANSWER = "answer"  # the server's answer to a request
+    REPORT = "report"  # the server's report of its own state, which is some time old
+    START = "start"  # the server has restarted since
+
+
 class Effect(StrEnum):
     """What happens if a request of this class runs twice."""
 
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -191,5 +191,6 @@
             self._log.warning("server_answer_spoilt", server=server, problem=what[:200], spoilt=self._invalid_count)
 
     def describe(self, operation: Operation) -> str:
-        """Names the request class and the key."""
-        return f"{operation.statement.request_class.name} {operation.statement.key}"
+        """Names the request class, the key and the client's id of the request."""
+        statement = operation.statement
+        return f"{statement.request_class.name} {statement.key} id={statement.id}"
--- a/yardbank/policy/router.py
+++ b/yardbank/policy/router.py
@@ -344,6 +344,6 @@
         dropped_if_repeated = request_class.effect == Effect.KEYED and request_class.scope == KeyScope.ALL
         if pending.ran_at is None or request_class.effect == Effect.SAFE or dropped_if_repeated:
             wait = BASE_BACKOFF if request_class.late_weight else request_class.deadline  # sooner would be late again
-            self._emit(api.Refuse(pending.request.id, min(self.settings.max_retry_after, wait)))
+            self._emit(api.Refuse(pending.request.id, min(self.settings.max_retry_after, wait), reason))
         else:
-            self._emit(api.Fail(pending.request.id))
+            self._emit(api.Fail(pending.request.id, reason))
--- a/yardbank/policy/servers.py
+++ b/yardbank/policy/servers.py
@@ -12,7 +12,7 @@
 from math import exp
 
 from yardbank import interface as api
-from yardbank.interface import ListKind, MemberState, ReplicaCheck, ReportMode, Status
+from yardbank.interface import ListKind, MemberState, ReplicaCheck, ReportMode, RoleEvidence, Status
 from yardbank.policy.requests import Attempt
 
 MS = 1_000_000
@@ -36,6 +36,7 @@
 LARGE_FLEET_GATEWAYS = 32  # from this many on, each gateway sees too few answers to judge servers by them alone
 
 EmitAction = Callable[[api.Action], None]
+RoleListener = Callable[[int, bool, RoleEvidence], None]  # server, whether it counts as primary now, and why
 
 
 class Server:
@@ -124,6 +125,7 @@
         self._random = rng
         self._emit = emit
         self.probes_before_sending = settings.tells_load and settings.gateways >= LARGE_FLEET_GATEWAYS
+        self.on_role_change: RoleListener = lambda server, primary, evidence: None  # for the log
         self.servers: dict[int, Server] = {}
         self.groups: dict[int, list[Server]] = {}
         self.max_members: dict[int, int] = {}  # by group: most members that served at one time
@@ -164,7 +166,9 @@
         if server is None:
             server = self.servers[member.server] = Server(member, now)
             self.groups.setdefault(member.group, []).append(server)
-        if member.started > server.started:  # its health must be observed anew, and its data is old
+        was_primary = server.is_primary()
+        has_restarted = member.started > server.started
+        if has_restarted:  # its health must be observed anew, and its data is old
             server.readmit()
             server.limit = INITIAL_CONCURRENCY_LIMIT
             server.started = member.started
@@ -175,10 +179,15 @@
         if member.primary and not server.listed_primary:
             primary_at = now - LIST_DELAY if is_delta else 0
             server.role_at[True] = max(server.role_at[True], primary_at)
+        self._report_role_change(server, was_primary, RoleEvidence.START if has_restarted else RoleEvidence.LIST)
         server.listed_primary = member.primary
         server.share = member.share
         server.draining = member.state == MemberState.DRAINING
 
+    def _report_role_change(self, server: Server, was_primary: bool, evidence: RoleEvidence) -> None:
+        if server.is_primary() != was_primary:
+            self.on_role_change(server.id, server.is_primary(), evidence)
+
     # gossip
 
     def apply_gossiped_outliers(self, now: int, event: api.GossipedOutliers) -> None:
@@ -229,14 +238,18 @@
         if report.position is None or report.position > now:
             return
         if report.primary is not None and report.position >= server.position:
+            was_primary = server.is_primary()
             server.role_at[report.primary] = max(server.role_at[report.primary], report.position)
+            self._report_role_change(server, was_primary, RoleEvidence.REPORT)
         self.record_position(now, server, report.position)
 
     def record_answer(self, now: int, event: api.Outcome, attempt: Attempt) -> None:
         """Record what an answer proves: the server's current role, and a position."""
         server = attempt.server
         if event.role:
+            was_primary = server.is_primary()
             server.role_at[event.role == api.Role.PRIMARY] = now
+            self._report_role_change(server, was_primary, RoleEvidence.ANSWER)
         if event.role == api.Role.PRIMARY:
             self.record_position(now, server, now - event.latency)
         if event.position and (self.settings.tells_position or event.status != Status.OK):
