--- a/tests/testing/soak/test_judge.py
+++ b/tests/testing/soak/test_judge.py
@@ -128,3 +128,26 @@
     assert all(draw(seed) == plan for seed, plan in plans.items())
     assert len({repr(plan) for plan in plans.values()}) == 50
     assert all(plan.kill_at - plan.terminate_at <= 3.7 + 1e-9 for plan in plans.values())
+
+
+@pytest.mark.parametrize(
+    ("age", "has_been_primary", "told_replica_at", "found"),
+    [
+        (0.69, False, None, []),
+        (0.71, False, None, ["no stale read"]),
+        (0.71, True, None, []),
+        (0.71, True, 1.75, ["no stale read"]),
+        (0.71, True, 1.77, []),
+    ],
+)
+def test_a_stale_read_is_found_unless_no_answer_has_denied_the_role_of_primary(
+    age, has_been_primary, told_replica_at, found
+):
+    play = good_play()
+    play.staleness_bound = 0.5
+    read = play.attempts[0]
+    read.data_age, read.has_been_primary = age, has_been_primary
+    if told_replica_at is not None:
+        earlier = ReceivedAttempt("r0", "s-1", 1.7, 1.7, 0.48, False, True, 0.0, False, False, told_replica_at)
+        play.attempts.insert(0, earlier)
+    assert rules(play) == found
--- a/tests/testing/soak/test_soak.py
+++ b/tests/testing/soak/test_soak.py
@@ -17,8 +17,9 @@
 }
 
 
-def run_soak(folder, seed, module="yardbank.platform", **environment):
-    command = [sys.executable, "-m", "yardbank.testing.soak", "--keep", str(folder), "--module", module, str(seed)]
+def run_soak(folder, *arguments, module="yardbank.platform", **environment):
+    command = [sys.executable, "-m", "yardbank.testing.soak", "--keep", str(folder), "--module", module]
+    command += [str(argument) for argument in arguments]
     return subprocess.run(
         command, capture_output=True, text=True, check=False, timeout=120, env={**os.environ, **environment}
     )
@@ -34,7 +35,7 @@
 @pytest.mark.parametrize("fault", FAULTS)
 def test_a_seeded_fault_is_found_and_its_record_is_kept(tmp_path, fault):
     seed, found = FAULTS[fault]
-    done = run_soak(tmp_path, seed, "tests.support.soak_program", SOAK_FAULT=fault)
+    done = run_soak(tmp_path, seed, module="tests.support.soak_program", SOAK_FAULT=fault)
     assert done.returncode == 1 and found in done.stdout, done.stdout + done.stderr
     assert f"again: python -m yardbank.testing.soak {seed}" in done.stdout
     assert (tmp_path / f"soak-{seed}.json").exists()
--- a/yardbank/testing/soak/__main__.py
+++ b/yardbank/testing/soak/__main__.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 from yardbank.testing.soak.judge import judge
-from yardbank.testing.soak.plan import draw
+from yardbank.testing.soak.plan import draw, draw_failovers
 from yardbank.testing.soak.play import play_seed
 
 MAX_SHOWN = 5  # violations printed for each seed
@@ -24,13 +24,15 @@
     parser.add_argument("last", type=int, nargs="?")
     parser.add_argument("--keep", type=Path, help="folder for the frames of seeds that fail")
     parser.add_argument("--module", default="yardbank.platform", help="the program to play")
+    parser.add_argument("--failovers", action="store_true", help="primaries fail in series while replicas lag")
     arguments = parser.parse_args()
     failed: list[int] = []
     totals: Counter[str] = Counter()
     begin = time.monotonic()
+    option = "--failovers " if arguments.failovers else ""
     seeds = range(arguments.first, (arguments.last if arguments.last is not None else arguments.first) + 1)
     for seed in seeds:
-        plan = draw(seed)
+        plan = draw_failovers(seed) if arguments.failovers else draw(seed)
         play = play_seed(plan, arguments.module)
         violations = judge(play)
         totals["requests"] += len(play.requests)
@@ -39,7 +41,7 @@
         if not violations:
             continue
         failed.append(seed)
-        print(f"seed {seed} failed; again: python -m yardbank.testing.soak {seed}")
+        print(f"seed {seed} failed; again: python -m yardbank.testing.soak {option}{seed}")
         for violation in violations[:MAX_SHOWN]:
             print(f"  {violation.rule}: {violation.what}")
         if arguments.keep is not None:
--- a/yardbank/testing/soak/discovery.py
+++ b/yardbank/testing/soak/discovery.py
@@ -53,6 +53,16 @@
             for writer in self._watches - self._silent:
                 self._send_list(writer)
 
+    def change(self, name: str, **fields: Any) -> None:
+        """Changes fields of a server's entry and sends the list."""
+        for instance in self.instances:
+            if instance["instanceId"] == name:
+                instance.update(fields)
+        self.generation += 1
+        if not self.is_down:
+            for writer in self._watches - self._silent:
+                self._send_list(writer)
+
     def begin(self, fault: DiscoveryFault) -> None:
         """Begins a fault."""
         if fault is DiscoveryFault.DOWN:
--- a/yardbank/testing/soak/frames.py
+++ b/yardbank/testing/soak/frames.py
@@ -55,6 +55,10 @@
     time_limit: float  # seconds, as sent to the server
     write: bool
     ran: bool  # False: the server reported that it did not run
+    data_age: float | None = None  # age (s) of the data that a read saw, when it was received; None: always recent
+    has_been_primary: bool = False
+    told_primary: bool | None = None  # the role that the answer stated
+    answered_at: float | None = None  # when the answer was written
 
 
 @dataclass(slots=True)
@@ -94,6 +98,7 @@
     requests: dict[str, SentRequest] = field(default_factory=dict)
     connections: dict[int, ClientConnection] = field(default_factory=dict)
     attempts: list[ReceivedAttempt] = field(default_factory=list)
+    staleness_bound: float | None = None  # greatest age (s) of the data of a read; None: not checked
     drains: list[ServerDrain] = field(default_factory=list)
     clock_gaps: list[tuple[float, float]] = field(default_factory=list)
 
--- a/yardbank/testing/soak/judge.py
+++ b/yardbank/testing/soak/judge.py
@@ -1,8 +1,8 @@
 """Checks the record of one run against the platform's rules. No I/O.
 
 Checked: one final answer in time for each request, no write applied twice, drains respected, no attempt after its
-client's close, no attempt given more time than is left, and the exit, memory and descriptors of the process. Not
-checked: cold servers and staleness of reads, which need a fleet and lagging replicas.
+client's close, no attempt given more time than is left, no read of data older than its bound where replicas lag, and
+the exit, memory and descriptors of the process. Not checked: cold servers, which need a fleet.
 """
 
 from __future__ import annotations
@@ -17,6 +17,8 @@
 CROSSING_TIME_S = 0.1  # seconds before the observed end of the connection in which a request may cross with it
 AFTER_CLOSE_S = 0.1  # seconds after its client's close in which an attempt may begin
 DRAIN_GRACE_S = 0.5
+STALENESS_SLACK_S = 0.05
+KNOWN_AFTER_S = 0.1  # seconds after an answer was written from which the gateway counts as knowing what it said
 TIME_LIMIT_SLACK_S = 0.15
 
 
@@ -30,7 +32,15 @@
 
 def judge(play: Play) -> list[Violation]:
     """All violations in a run, in the order of the rules."""
-    return [*_answers(play), *_effects(play), *_drains(play), *_departures(play), *_time_limits(play), *_process(play)]
+    return [
+        *_answers(play),
+        *_effects(play),
+        *_drains(play),
+        *_departures(play),
+        *_time_limits(play),
+        *_stale_reads(play),
+        *_process(play),
+    ]
 
 
 def _recorder_delay(play: Play, start: float, end: float) -> float:
@@ -123,6 +133,27 @@
             yield Violation("time told", f"{attempt.id} at {attempt.server}: {told}")
 
 
+def _stale_reads(play: Play) -> Iterator[Violation]:
+    if play.staleness_bound is None:
+        return
+    for attempt, _ in _of_clients(play):
+        if attempt.write or not attempt.ran or attempt.data_age is None:
+            continue
+        delay = UNDETECTED_DELAY_S + _recorder_delay(play, attempt.received_at, attempt.received_at)
+        too_old = attempt.data_age - play.staleness_bound - STALENESS_SLACK_S - delay
+        if too_old > 0 and not _is_excused(play, attempt, delay):
+            yield Violation("no stale read", f"{attempt.id} at {attempt.server}: data {too_old:.3f} s too old")
+
+
+def _is_excused(play: Play, read: ReceivedAttempt, delay: float) -> bool:
+    """Whether the server had been primary and no answer had told the gateway yet that it is none."""
+    known_at = read.first_octet_at - KNOWN_AFTER_S - delay
+    return read.has_been_primary and not any(
+        attempt.server == read.server and attempt.told_primary is False and (attempt.answered_at or known_at) < known_at
+        for attempt in play.attempts
+    )
+
+
 def _of_clients(play: Play) -> Iterator[tuple[ReceivedAttempt, SentRequest]]:
     for attempt in play.attempts:
         if (request := play.requests.get(attempt.id)) is not None:
--- a/yardbank/testing/soak/plan.py
+++ b/yardbank/testing/soak/plan.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import StrEnum
 from random import Random
 
@@ -70,6 +70,26 @@
     lasts: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class FailoverStep:
+    """The current primary crashes at ``at``; delays (s) count from the event that they follow."""
+
+    at: float
+    downtime: float  # until it starts again, as a replica
+    election_delay: float  # until another server is promoted
+    list_delays: tuple[float, float]  # from the promotion until the list says so, for the new and the old primary
+
+
+@dataclass(slots=True, frozen=True)
+class Replication:
+    """How far replicas lag, and the failovers of the primary."""
+
+    checked: bool  # replicas reject reads that they lag too far for; otherwise they answer from what they have
+    staleness_bound: float  # s
+    lags: tuple[float, ...]  # by server (s)
+    failovers: tuple[FailoverStep, ...]
+
+
 @dataclass(slots=True, frozen=True)
 class Plan:
     """One run; times in seconds from its start."""
@@ -88,6 +108,7 @@
     crowd: int  # idle clients that send one request after SIGTERM
     signals: tuple[SignalStep, ...]
     terminate_at: float
+    replication: Replication | None = None  # None: replicas are never behind and the primary never changes
 
     @property
     def kill_at(self) -> float:
@@ -120,6 +141,46 @@
     )
 
 
+def draw_failovers(seed: int) -> Plan:
+    """Draws a longer plan in which primaries fail in series while replicas lag and the list tells roles late."""
+    random = Random(f"soak/failovers/{seed}")
+    terminate_at = random.uniform(8.0, 10.0)
+    servers = random.randrange(3, 6)
+    return replace(
+        draw(seed),
+        deadlines={"lookup": round(random.uniform(0.5, 1.5), 3), "commit": 1.5},
+        effect="side_effect",
+        window=0.0,
+        servers=servers,
+        service_time=0.002,
+        server_steps=(),
+        crowd=0,
+        signals=_signals(random, terminate_at),
+        terminate_at=terminate_at,
+        replication=Replication(
+            checked=random.random() < 0.25,
+            staleness_bound=random.choice([0.3, 0.5, 0.8]),
+            lags=tuple(random.choice([0.01, 3.0]) if number else 3.0 for number in range(servers)),
+            failovers=_failovers(random, terminate_at),
+        ),
+    )
+
+
+def _failovers(random: Random, terminate_at: float) -> tuple[FailoverStep, ...]:
+    steps = []
+    at = random.uniform(0.5, 1.5)
+    while at < terminate_at - 1.0:
+        step = FailoverStep(
+            at=at,
+            downtime=random.uniform(0.2, 1.0),
+            election_delay=random.uniform(0.4, 1.5),
+            list_delays=(random.uniform(1.0, 4.5), random.uniform(1.0, 4.5)),
+        )
+        steps.append(step)
+        at += step.election_delay + random.uniform(0.2, 1.2)
+    return tuple(steps)
+
+
 def _server_steps(random: Random, servers: int, terminate_at: float) -> tuple[ServerStep, ...]:
     steps = []
     for _ in range(random.randrange(1, 5)):
--- a/yardbank/testing/soak/play.py
+++ b/yardbank/testing/soak/play.py
@@ -21,17 +21,21 @@
 from yardbank.testing.soak.plan import (
     ARRIVALS_AFTER,
     DiscoveryStep,
+    FailoverStep,
     Plan,
     ServerFault,
     ServerStep,
     SignalStep,
 )
+from yardbank.testing.soak.replication import ReplicationGroup
 from yardbank.testing.soak.servers import Server
 
 CLOCK_CHECK_S = 0.01  # seconds between checks for delays of the recorder itself
 MIN_GAP_S = 0.03  # seconds beyond the interval from which a delay is recorded
 SAMPLE_INTERVAL_S = 0.2  # seconds between samples of the process
 NS_PER_SECOND = 10**9
+REPORT_INTERVAL_S = 0.15  # seconds between a server's reports on itself
+START_LIST_DELAY_S = 0.3  # seconds until the list tells a server's start
 
 
 def settings(plan: Plan) -> dict[str, Any]:
@@ -52,15 +56,19 @@
                 "late_worth": 0.3,
             }
         )
+    replication = plan.replication
+    bound = 1.0 if replication is None else replication.staleness_bound
     return {
         "domain": {
-            "checks": "bounce",
-            "class_read": ["lag_bound", "mutate"],
-            "lag_allowed": [NS_PER_SECOND, 0],
+            "checks": "bounce" if replication is None or replication.checked else "silent",
+            "class_read": ["mutate" if name == "commit" else "lag_bound" for name in plan.deadlines],
+            "lag_allowed": [0 if name == "commit" else int(bound * NS_PER_SECOND) for name in plan.deadlines],
             "session_marks": "brought",
         },
+        "reporting": {} if replication is None else {"names": ["x0", "x1", "utilization"], "via": "pull"},
         "services": services,
         "ceilings": {
+            "probes": replication is not None,
             "max_attempts": 4,
             "cancel": True,
             "connect_timeout": NS_PER_SECOND // 4,
@@ -95,6 +103,7 @@
         """Runs the plan; everything that it started has ended when this returns."""
         for server in self._servers:
             await server.listen()
+        self._begin_replication()
         self._discovery.instances = [self._instance(server) for server in self._servers]
         await self._discovery.listen()
         with tempfile.TemporaryDirectory(prefix="soak-") as folder:
@@ -106,6 +115,18 @@
         await self._until_ended()
         return self.play
 
+    def _begin_replication(self) -> None:
+        replication = self._plan.replication
+        if replication is None:
+            return
+        lags = {server.name: lag for server, lag in zip(self._servers, replication.lags, strict=True)}
+        self._group = ReplicationGroup(lags, self._servers[0].name, time.monotonic())
+        self.play.staleness_bound = replication.staleness_bound
+        for server in self._servers:
+            server.group = self._group
+            server.staleness_bound = replication.staleness_bound if replication.checked else None
+            server.refresh_report()
+
     def _instance(self, server: Server) -> dict[str, Any]:
         return {
             "instanceId": server.name,
@@ -171,8 +192,51 @@
             *(self._play_server(step) for step in plan.server_steps),
             *(self._play_discovery(step) for step in plan.discovery_steps),
             *(self._play_signal(step) for step in plan.signals),
+            *self._replication_tasks(),
         ]
 
+    def _replication_tasks(self) -> list[Any]:
+        replication = self._plan.replication
+        if replication is None:
+            return []
+        return [self._refresh_reports(), *(self._play_failover(step) for step in replication.failovers)]
+
+    async def _refresh_reports(self) -> None:
+        while True:
+            for server in self._servers:
+                server.refresh_report()
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    async def _play_failover(self, step: FailoverStep) -> None:
+        """Crashes the primary, starts it again, promotes another server; the list tells each of this later."""
+        await self._at(step.at)
+        old = next((server for server in self._servers if server.is_primary), None)
+        if old is None:
+            return
+        self._group.crash(old.name, time.monotonic())
+        old.close()
+        promotion = asyncio.create_task(self._promote(step, old))
+        await asyncio.sleep(step.downtime)
+        await old.listen()
+        self._group.restart(old.name)
+        started_ms = int(time.time() * 1000)
+        await asyncio.sleep(START_LIST_DELAY_S)
+        self._discovery.change(old.name, startedAtMs=started_ms)
+        await promotion
+
+    async def _promote(self, step: FailoverStep, old: Server) -> None:
+        await asyncio.sleep(step.election_delay)
+        new = self._group.elect(time.monotonic())
+        if new is None:
+            return
+        changes = [(step.list_delays[0], new, "master")]
+        if new != old.name:
+            changes.append((step.list_delays[1], old.name, "replica"))
+        began = time.monotonic()
+        for delay, name, part in sorted(changes):
+            await asyncio.sleep(max(0.0, began + delay - time.monotonic()))
+            self._discovery.change(name, part=part)
+
     async def _at(self, seconds: float) -> None:
         await asyncio.sleep(max(0.0, self._begin + seconds - time.monotonic()))
 
--- a/yardbank/testing/soak/wire.py
+++ b/yardbank/testing/soak/wire.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 
 PROTOCOL_VERSION = 196608  # 3.0
+PROBE = b"SHOW gauges"
 _STATEMENT = re.compile(rb"id=([^, ]+),c=([^, ]+),d=([0-9]+)")
 
 
