Reads follow a server's own word on its role; the late list no longer outranks it

Callers saw: with replicas that do not check positions, a read with a staleness bound was answered from data that were 1 s and more too old, right after a list version that named the server. Cause: ServerTable._apply_member dated a list entry that turns a server into the primary one second back. The list comes 1 to 5 s late, so it outranked what the server itself had answered in between, and a read goes to a primary without a proven position. Nothing told a belief from the list from one that rests on the server's word. Change: ServerRole keeps what is believed and what the server itself stated. Where servers do not check, one that has said that it is a replica gets a bounded read only with a proven position, a session or fresh read only within 1 s of its own word as the primary; such a primary is probed while reads wait. Writes may still follow the list: a wrong one is a miss.

--- a/tests/policy/test_gossiped_positions.py
+++ b/tests/policy/test_gossiped_positions.py
@@ -48,10 +48,10 @@
     world = World(group(2), seed=seed)
     server = world.router.servers[2]
     server.silent, server.ejected_until, server.failures = True, world.now + SECOND, 2
-    before = server.answered_at, server.load_at, dict(server.role_at)
+    before = server.answered_at, server.load_at, dict(server.role.believed_at)
     gossip_position(world, 2, after=MS)
     assert (server.silent, server.failures) == (True, 2) and server.ejected_until > world.now
-    assert (server.answered_at, server.load_at, server.role_at) == before and not server.is_primary()
+    assert (server.answered_at, server.load_at, server.role.believed_at) == before and not server.is_primary()
     position = server.position
     for report in (Report(world.now + SECOND, False), Report(None, False)):  # ahead of the clock; no position at all
         world.feed(PositionGossiped(2, report))
--- a/tests/policy/test_health.py
+++ b/tests/policy/test_health.py
@@ -75,7 +75,7 @@
 
 def test_probe_interval_grows_with_the_number_of_gateways():
     world = World(gateways=500)
-    world.router.servers[1].role_at[True] = -1
+    world.router.servers[1].role.believed_at[True] = -1
     world.ask("w", "commit")
     assert len(world.of(Probe)) == 3
     for server in (1, 2, 3):
--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -70,7 +70,7 @@
 def test_queued_read_whose_token_no_server_has_reached_does_not_block_others():
     world = World(group(1), tokens="carried")
     world.known(2, lag=300 * MS)
-    world.router.servers[1].role_at[True] = -1  # no primary is known
+    world.router.servers[1].role.believed_at[True] = -1  # no primary is known
     world.router.servers[2].limit = 1.0
     world.router.servers[1].draining = True
     world.ask("first", "any")
--- a/yardbank/policy/router.py
+++ b/yardbank/policy/router.py
@@ -139,7 +139,7 @@
             server.eject(self.now, silent=False)
             return
         server.unanswered_probes = 0
-        self.table.record_report(self.now, server, event.report)
+        self.table.record_report(self.now, server, event.report, self.now - event.latency)
         if self.now - server.connection_refused_at < BASE_BACKOFF:
             self.connection_shortage_until = self.now + SHORTAGE_PERIOD
         if not server.silent:
@@ -180,7 +180,7 @@
         server = attempt.server
         del server.in_flight[event.id, event.attempt]
         self.table.record_answer(self.now, event, attempt)
-        self.table.record_report(self.now, server, event.report)
+        self.table.record_report(self.now, server, event.report, attempt.sent_at)
         self.table.record_connection_outcome(server, event, attempt.idle)
         refused = event.status == Status.CONNECT_FAILED and event.latency < self.settings.connect_timeout / 2
         self.table.update_health(self.now, event, attempt, refused)
@@ -322,13 +322,16 @@
         self._emit(api.Send(pending.request.id, server.id, pending.request.expires))
 
     def _enqueue(self, pending: PendingRequest) -> None:
-        """Queue a request until there is capacity; probe the group's servers if its primary is unknown."""
+        """Queue a request until there is capacity; probe the group's servers if it is not certain which is primary."""
         pending.tried.clear()
         self.queue.add(pending, self.admission.is_late(self.now, pending))
         group = pending.request.group
-        if self.table.primary(self.now, group) is None:
+        primary = self.table.primary(self.now, group)
+        if primary is None:
             for server in self.table.groups.get(group, ()):
                 self.table.probe(self.now, server)
+        elif not self.table.may_serve(self.now, primary, pending) and not self.table.is_probing(group):
+            self.table.probe(self.now, primary)
 
     def _route_waiting(self, group: int) -> None:
         """Route requests that wait for a group, by descending weight."""
--- a/yardbank/policy/selection.py
+++ b/yardbank/policy/selection.py
@@ -105,6 +105,8 @@
         if pending.needs_primary:
             if primary is None or primary.id in pending.tried:
                 return None
+            if not self._table.may_serve(now, primary, pending):
+                return None
             return primary if self.has_capacity(now, primary, pending) else None
         members = self._table.groups.get(group, [])
         if len(members) > SAMPLE_SIZE:  # scanning hundreds of servers pays only if a sample yields none
@@ -145,7 +147,12 @@
         table = self._table
         required = pending.required_position(now)
         untried = [server for server in members if not server.draining and server.id not in pending.tried]
-        eligible = [server for server in untried if server is primary or table.has_reached(now, server, required)]
+        eligible = [
+            server
+            for server in untried
+            if table.has_reached(now, server, required)
+            or (server is primary and table.trusts_role(now, server, pending))
+        ]
         if table.zone_latencies:  # a server whose round trip alone exceeds the deadline is used only if no other can be
             expires = pending.request.expires
             untried = [server for server in untried if now + table.longest_round_trip(server) <= expires]
--- a/yardbank/policy/servers.py
+++ b/yardbank/policy/servers.py
@@ -12,8 +12,9 @@
 from math import exp
 
 from yardbank import interface as api
-from yardbank.interface import ListKind, MemberState, ReplicaCheck, ReportMode, RoleEvidence, Status
-from yardbank.policy.requests import Attempt
+from yardbank.interface import ListKind, MemberState, ReadMode, ReplicaCheck, ReportMode, RoleEvidence, Status
+from yardbank.policy.requests import Attempt, PendingRequest
+from yardbank.policy.roles import ServerRole
 
 MS = 1_000_000
 SECOND = 1_000_000_000
@@ -29,7 +30,6 @@
 MAX_IDLE_TIME = 30 * SECOND  # a connection unused for longer may be dead
 LAG_DECAY_TIME = 2 * SECOND  # time constant of a lagging replica's assumed catch-up
 LOAD_MAX_AGE = SECOND  # an older reported load is not used
-LIST_DELAY = SECOND  # a change of primary may reach the server list this much later
 RATIO_DECAY_TIME = 2 * SECOND  # time constant by which earlier answers lose weight
 RATIO_FADE_TIME = 4 * SECOND  # time constant by which a server without answers returns to its zone's mean
 MAX_LATENCY_RATIO = 4.0  # upper bound of a single answer's ratio
@@ -48,9 +48,8 @@
         self.group = member.group
         self.share = 1.0  # relative share of requests among equally good servers
         self.started = 0  # 0: started long ago
-        self.listed_primary = False
         self.draining = False  # no new requests may be sent to it
-        self.role_at = {True: -1, False: -1}  # when it was last known to be primary (True) and not to be (False)
+        self.role = ServerRole()
         # positions
         self.position = 0  # proven; never decreases
         self.lag = 0  # how far behind it was at ``position_heard_at``
@@ -79,8 +78,8 @@
         self.unanswered_probes = 0  # consecutive
 
     def is_primary(self) -> bool:
-        """Whether the latest evidence says primary; a reported role is dated by the time at which it was true."""
-        return self.role_at[True] > self.role_at[False]
+        """Whether the latest evidence of its role says primary."""
+        return self.role.is_primary()
 
     def is_full(self) -> bool:
         """Whether its answers are so slow that further requests would miss their latency objective."""
@@ -134,6 +133,11 @@
         self.gossiped_outliers: dict[int, int] = {}  # by server: until when its reads go to others if possible
         self.zone_latencies: dict[str, tuple[int, int]] = {}  # by zone: (extra, longest) round trip
 
+    @property
+    def can_probe(self) -> bool:
+        """Whether servers may be probed and report on themselves."""
+        return self.settings.may_probe and self.settings.reports != ReportMode.NONE
+
     # server list
 
     def apply_list(self, now: int, event: api.ServerList) -> None:
@@ -172,15 +176,12 @@
             server.readmit()
             server.limit = INITIAL_CONCURRENCY_LIMIT
             server.started = member.started
-            server.role_at[True] = -1
+            server.role.on_start(member.started)
             server.lag = self.settings.cold
             server.position_heard_at = now
             server.position_unknown = True
-        if member.primary and not server.listed_primary:
-            primary_at = now - LIST_DELAY if is_delta else 0
-            server.role_at[True] = max(server.role_at[True], primary_at)
+        server.role.on_listed(member.primary, now, is_delta)
         self._report_role_change(server, was_primary, RoleEvidence.START if has_restarted else RoleEvidence.LIST)
-        server.listed_primary = member.primary
         server.share = member.share
         server.draining = member.state == MemberState.DRAINING
 
@@ -227,28 +228,30 @@
         server.position_heard_at = now
         server.position_unknown = False
 
-    def record_report(self, now: int, server: Server, report: api.Report | None) -> None:
-        """Record a report, which is exact but old: its role was true at its position."""
+    def record_report(self, now: int, server: Server, report: api.Report | None, requested_at: int) -> None:
+        """Record a report, which is exact but some time old when it arrives."""
         if report is None:
             return
         if report.load is not None:
             server.load = report.load
             server.load_at = now
             self.group_loads[server.group, server.is_primary()] = report.load, now
-        if report.position is None or report.position > now:
-            return
-        if report.primary is not None and report.position >= server.position:
+        position = report.position
+        if position is not None and position > now:
+            position = None  # it proves nothing
+        if report.primary is not None and position is not None and position >= server.position:
             was_primary = server.is_primary()
-            server.role_at[report.primary] = max(server.role_at[report.primary], report.position)
+            server.role.on_report(report.primary, position, requested_at)
             self._report_role_change(server, was_primary, RoleEvidence.REPORT)
-        self.record_position(now, server, report.position)
+        if position is not None:
+            self.record_position(now, server, position)
 
     def record_answer(self, now: int, event: api.Outcome, attempt: Attempt) -> None:
         """Record what an answer proves: the server's current role, and a position."""
         server = attempt.server
         if event.role:
             was_primary = server.is_primary()
-            server.role_at[event.role == api.Role.PRIMARY] = now
+            server.role.on_answer(event.role == api.Role.PRIMARY, now)
             self._report_role_change(server, was_primary, RoleEvidence.ANSWER)
         if event.role == api.Role.PRIMARY:
             self.record_position(now, server, now - event.latency)
@@ -281,13 +284,38 @@
             return True
         return checked and self.estimated_position(now, server) + self.settings.patience >= required
 
+    def may_serve(self, now: int, server: Server, pending: PendingRequest) -> bool:
+        """Whether a server certainly has the data that a read must see, or rejects the read if it has not."""
+        if self.trusts_role(now, server, pending):
+            return True
+        if pending.needs_primary:
+            return False
+        return self.has_reached(now, server, pending.required_position(now))
+
+    def trusts_role(self, now: int, server: Server, pending: PendingRequest) -> bool:
+        """Whether a request may go to a server because it is believed to be the primary, without a proven position.
+
+        Where servers do not check positions, one that has said that it is a replica must have said since that it is the
+        primary: the list may name it too late. For a bounded read that is not enough, because the data of a server that
+        has lost its role again stand still; it needs a proven position, which a probe gives.
+        """
+        if not server.is_primary():
+            return False
+        if pending.request_class.read == ReadMode.WRITE or self.settings.checks != ReplicaCheck.NONE:
+            return True
+        if not server.role.has_been_replica():
+            return True
+        if pending.request_class.read == ReadMode.BOUNDED and self.can_probe:
+            return False
+        return server.role.states_primary(now)
+
     def primary(self, now: int, group: int) -> Server | None:
         """Return the server last known to be primary, unless it is draining or ejected."""
         latest: Server | None = None
         for server in self.groups.get(group, ()):
             if not server.is_primary() or server.draining:
                 continue
-            if latest is None or server.role_at[True] > latest.role_at[True]:
+            if latest is None or server.role.believed_at[True] > latest.role.believed_at[True]:
                 latest = server
         if latest is None or latest.silent or now < latest.ejected_until:
             return None
@@ -368,12 +396,16 @@
             server.answered_at = now
             server.last_answered_sent_at = max(server.last_answered_sent_at, attempt.sent_at)
 
+    def is_probing(self, group: int) -> bool:
+        """Whether a probe of one of a group's servers is in flight."""
+        return any(server.probe_in_flight for server in self.groups.get(group, ()))
+
     def probe(self, now: int, server: Server) -> bool:
         """Probe a server if a probe is due; return whether a probe is in flight.
 
         Call it only for what the next decision needs, because hundreds of gateways probe the same servers.
         """
-        if now >= server.next_probe_at and self.settings.may_probe and self.settings.reports != ReportMode.NONE:
+        if now >= server.next_probe_at and self.can_probe:
             interval = max(PROBE_INTERVAL, self.settings.gateways * FLEET_PROBE_INTERVAL)
             server.next_probe_at = now + (interval << min(server.unanswered_probes, MAX_BACKOFF_DOUBLINGS))
             server.probe_in_flight = True
