A replica's report is dated by when it was asked for, not by its position

Callers saw: reads at a server that had lost its role, for as long as it lagged. Cause: record_report dated a report's role by its log position, which for a replica may lie seconds back or stand still, and dropped the role if the position was missing, ahead of the clock or lower than a known one. Change: a report was made at most 1 s before it was asked for; that, or its position if later, dates a replica's word. A primary's position is the time of its report, as before. Measured: test_report_of_a_replica_ends_an_older_belief_that_it_is_primary failed in its three cases before and passes; a report from before a primary's answer still does not end its role (own test).

--- a/yardbank/policy/roles.py
+++ b/yardbank/policy/roles.py
@@ -7,6 +7,7 @@
 
 SECOND = 1_000_000_000
 LIST_DELAY = SECOND  # a change of primary reaches the server list at least this much later
+REPORT_MAX_AGE = SECOND  # a report was made at most this long before it was requested
 PRIMARY_TRUST_PERIOD = SECOND  # how long a primary's own word holds for reads; shorter than any failover
 NEVER = -1
 
@@ -46,12 +47,13 @@
     def on_report(self, primary: bool, position: int | None, requested_at: int) -> None:
         """Record the role in a report; ``position``: the log position in it, None if it has none that can be used.
 
-        Its role was true at its position.
+        A primary's position is the time of its report. A replica's may be far behind that time, or stand still.
         """
         if primary and position is not None:
             self._state(True, position)
-        elif position is not None:
-            self._state(False, position)
+        elif not primary:
+            made_at = requested_at - REPORT_MAX_AGE
+            self._state(False, made_at if position is None else max(made_at, position))
 
     def on_listed(self, primary: bool, now: int, is_delta: bool) -> None:
         """Record the role in a list entry; only a change to primary tells anything."""
--- a/yardbank/policy/servers.py
+++ b/yardbank/policy/servers.py
@@ -239,7 +239,7 @@
         position = report.position
         if position is not None and position > now:
             position = None  # it proves nothing
-        if report.primary is not None and position is not None and position >= server.position:
+        if report.primary is not None:
             was_primary = server.is_primary()
             server.role.on_report(report.primary, position, requested_at)
             self._report_role_change(server, was_primary, RoleEvidence.REPORT)
