News of a start does not outrank what the server has answered since

Callers saw: writes held for a moment at a group whose primary had restarted, was elected again and answered as such. Change: only evidence from before the start is forgotten. Measured: test_late_news_of_a_start_does_not_outrank_what_the_server_answered_since failed before and passes; its counterpart (evidence from before the start) passes before and after.

--- a/yardbank/policy/roles.py
+++ b/yardbank/policy/roles.py
@@ -63,9 +63,10 @@
         self.listed_primary = primary
 
     def on_start(self, started: int) -> None:
-        """Forget that it was primary."""
-        self.believed_at[True] = NEVER
-        self.stated_at[True] = NEVER
+        """Forget that it was primary before it started."""
+        for at in (self.believed_at, self.stated_at):
+            if at[True] < started:
+                at[True] = NEVER
 
     def _state(self, primary: bool, at: int) -> None:
         self.stated_at[primary] = max(self.stated_at[primary], at)
