A read is not written once its server's data are too old or its role is gone

Callers could see: a read of data older than its bound, by as much as the connection took to open (up to 250 ms). Cause: the staleness bound was checked when the router decided; the attempt was written later, once a connection was up, and check_send asked for the client, the list, the deadline and the window, not for the data. Change: Router.may_write is asked right before the write; if it says no, the attempt ends as never run (DATA_TOO_OLD) and the read is routed again. Always yes where servers check positions, and for writes.

--- a/tests/support/delayed_gateway.py
+++ b/tests/support/delayed_gateway.py
@@ -42,12 +42,12 @@
 class Place:
     """A gateway whose connections open on the test's command."""
 
-    def __init__(self, *servers, router=RecordingRouter, **more):
+    def __init__(self, *servers, router=RecordingRouter, classes=(READ, WRITE, KEYED), **more):
         self.clock, self.backend, self.log = Clock(), FakeBackend(), Log()
         self.clock.advance(100)
         self.backend.mode = "when told"
         self.feed = []  # server lists that are not read yet
-        settings = Settings(1, "a", 1, (READ, WRITE, KEYED), reports="none", max_attempts=4, max_retry_after=100 * MS)
+        settings = Settings(1, "a", 1, classes, reports="none", max_attempts=4, max_retry_after=100 * MS)
 
         def made(settings):
             self.router = router(settings)
--- a/yardbank/gateway/attempt_runner.py
+++ b/yardbank/gateway/attempt_runner.py
@@ -99,12 +99,15 @@
             self._endpoints.arm_idle_timer()
 
     def _check_before_write(self, request: InFlightRequest, server: int, attempt: Attempt) -> SendCheck | None:
-        """Check right before an attempt is written: pending server lists, the client's presence, other changes."""
+        """Check right before an attempt is written: pending lists, the client's presence, the data, other changes."""
         if not request.ended:
             self._endpoints.apply_pending_lists()
             if not request.ended and not self._client_is_present(request):
                 self.leave(request.id)
-        return check_send(request, attempt, self._context.now(), self._endpoints.last_invalidation(server))
+        reason = check_send(request, attempt, self._context.now(), self._endpoints.last_invalidation(server))
+        if reason is None and not self._events.may_write(request.id, server):
+            return SendCheck.DATA_TOO_OLD
+        return reason
 
     def _client_is_present(self, request: InFlightRequest) -> bool:
         if request.call.present is None:
--- a/yardbank/gateway/event_queue.py
+++ b/yardbank/gateway/event_queue.py
@@ -53,6 +53,10 @@
         """Queue an event without processing it: the caller is running within ``handle``."""
         self._events.append(event)
 
+    def may_write(self, request: str, server: int) -> bool:
+        """Whether the router would still let an attempt be written to a server."""
+        return self._router.may_write(self._context.now(), request, server)
+
     def detach_router(self) -> None:
         """Stop passing events to the router, so that it decides nothing more, as in a killed process."""
         self._router.handle = lambda now, event: []  # type: ignore[method-assign]
--- a/yardbank/gateway/send_check.py
+++ b/yardbank/gateway/send_check.py
@@ -20,6 +20,7 @@
     SUPERSEDED = "its server had begun to drain, moved or left the list"
     WINDOW_OVER = "the window for repeating it was over"
     MAY_HAVE_RUN = "an earlier attempt may have run"
+    DATA_TOO_OLD = "its server was no longer known to have recent enough data"
 
 
 def check_send(request: InFlightRequest, attempt: Attempt, now: int, last_invalidation: int) -> SendCheck | None:
--- a/yardbank/policy/router.py
+++ b/yardbank/policy/router.py
@@ -8,7 +8,7 @@
 from enum import StrEnum
 
 from yardbank import interface as api
-from yardbank.interface import Effect, KeyScope, ReadMode, Status
+from yardbank.interface import Effect, KeyScope, ReadMode, ReplicaCheck, Status
 from yardbank.policy.admission import Admission
 from yardbank.policy.requests import Attempt, PendingRequest, WaitQueue
 from yardbank.policy.selection import Selection
@@ -227,6 +227,17 @@
         elif event.id in self.requests:
             self._route(pending)
 
+    def may_write(self, now: int, request_id: str, server: int) -> bool:
+        """Whether a server still has the data that a read must see, right before an attempt is written there.
+
+        Always true where servers check positions themselves, and for writes, which only a primary accepts.
+        """
+        pending = self.requests.get(request_id)
+        known = self.servers.get(server)
+        if pending is None or known is None or self.settings.checks != ReplicaCheck.NONE:
+            return True
+        return pending.request_class.read == ReadMode.WRITE or self.table.may_serve(now, known, pending)
+
     # timer
 
     def on_timer(self, event: api.Timer) -> None:
