Server starts are dated by the gateway's own clock, not by a wall clock that may be set

Callers could see: a server that restarts after the wall clock was set forward counts as warm at once and gets its full share while it is cold (rule on recovering servers). Cause: the platform's program dates everything by the wall clock as it was at its start, carried on by the monotonic clock, but gave the endpoint set time.time for the starts that the list tells, so the two differed after a step. Evidence: with time.time stepped by an hour or 5 s forward a start of now was dated an hour or 5 s back (2 of 4 cases of the new test; steps back are cut off at now and passed). Change: both use the same clock. Measured: tests/platform/test_clock_steps.py 2 failed before, 0 after.

--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -81,6 +81,7 @@
             reactor=reactor,
             limits=limits,
             seconds=seconds,
+            wall=seconds,
             log=log,
             positions=ClockPositions(),
             connections_bound=lambda: descriptors.max_servers(self.factory.open_descriptors),
