Timeline: a bound under four drops the oldest point too

Callers saw: nothing; the program uses a bound of 4,096. Cause: a quarter of a bound under 4 is 0, so Timeline(3) never dropped a point and held more than its bound. Change: at least one point is dropped. Measured: test_positions_are_never_too_late_and_tokens_are_reached_only_with_the_write failed always before and passes.

--- a/yardbank/timeline.py
+++ b/yardbank/timeline.py
@@ -126,7 +126,7 @@
 
     def _drop_oldest(self) -> None:
         if len(self._points) > self._max_points:
-            del self._points[: self._max_points // 4]
+            del self._points[: max(1, self._max_points // 4)]
             self._dropped = True
 
 
