--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 soak: $(VENV)/ready
 	YARDBANK_EVERY_SCENARIO=1 $(PY) -m pytest -q -n 2 tests/testing/soak
 	$(PY) -m yardbank.testing.soak --keep $(KEEP) $(FIRST) $$(($(FIRST) + $(SEEDS) - 1))
+	$(PY) -m yardbank.testing.soak --failovers --keep $(KEEP) $(FIRST) $$(($(FIRST) + $(SEEDS) - 1))
 
 bench: $(VENV)/ready
 	$(PY) -m pip -q install --disable-pip-version-check -e '.[dev,bench]'
