Discovery's connection is a module of its own

Change: WatchConnection and its factory move to watch_connection.py and get two callbacks in place of the watcher; names without underscores. No behaviour changes.

--- a/tests/platform/test_race_discovery.py
+++ b/tests/platform/test_race_discovery.py
@@ -12,7 +12,8 @@
 from tests.support.platform import ENTRY, HEAD, LINE, Log, chunk
 from yardbank.platform.config import Address
 from yardbank.platform.listing import Listing, merge_listings
-from yardbank.platform.watch import MAX_READS, READ_SIZE, Watcher
+from yardbank.platform.watch import MAX_READS, Watcher
+from yardbank.platform.watch_connection import READ_SIZE
 
 OTHER_ADDRESS = Address("127.0.0.9", 8501)
 
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -1,85 +1,23 @@
-"""Twisted client that watches discovery, driven by ``discovery.Watch`` and ``watch_state.WatchStateMachine``.
+"""Watches discovery: opens connections, passes lists on, and aborts watches that are given up.
 
-It connects, passes lists on, and aborts watches that are given up.
+Driven by ``discovery.Watch`` (what was received) and ``watch_state.WatchStateMachine`` (which watches are open).
 """
 
 from __future__ import annotations
 
-import socket
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import ClientFactory, Protocol
-from twisted.python.failure import Failure
-
 from yardbank.gateway.api import MS, SECOND
 from yardbank.platform.config import Address
 from yardbank.platform.discovery import Watch
 from yardbank.platform.json_stream import Token
 from yardbank.platform.listing import Listing, merge_listings
+from yardbank.platform.watch_connection import WatchConnection, WatchConnectionFactory
 from yardbank.platform.watch_state import SILENCE_TIMEOUT, Actions, WatchStateMachine
 
 LOG_INTERVAL = SECOND  # between log lines of one event that discovery can cause at will
-READ_SIZE, MAX_READS = 64 << 10, 16  # octets at a time; reads in a row
-
-
-class _WatchProtocol(Protocol):
-    transport: Any
-    connector: Any = None
-
-    def __init__(self, watcher: Watcher, number: int, watch: Watch) -> None:
-        self._watcher = watcher
-        self.number = number
-        self.watch = watch
-        self.aborted = False
-
-    def connectionMade(self) -> None:  # noqa: N802
-        self.transport.write(self.watch.request)
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        if self.aborted:
-            return
-        self._watcher.data_received(self, data)
-        if self.watch.done and not self.aborted:
-            self.transport.loseConnection()
-
-    def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
-        if not self.aborted:
-            self._watcher.ended(self, reason.getErrorMessage())
-
-    def read_pending(self) -> bytes:
-        """Reads data waiting in the socket; none also if the connection has ended, which is left to the reactor."""
-        sock = getattr(self.transport, "socket", None)
-        if sock is None or self.aborted or self.watch.done:
-            return b""
-        try:
-            if not sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT):
-                return b""
-            return bytes(sock.recv(READ_SIZE))
-        except OSError:  # no data, or a reset
-            return b""
-
-    def abort(self) -> None:
-        """Closes the connection and ignores what it still receives."""
-        self.aborted = True
-        if self.transport is not None:
-            self.transport.abortConnection()
-        elif self.connector is not None:
-            self.connector.disconnect()
-
-
-class _WatchFactory(ClientFactory):
-    noisy = False
-
-    def __init__(self, protocol: _WatchProtocol) -> None:
-        self._protocol = protocol
-
-    def buildProtocol(self, addr: Any) -> _WatchProtocol:  # noqa: N802
-        return self._protocol
-
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:  # noqa: N802
-        self._protocol.connectionLost(reason)
+MAX_READS = 16  # reads in a row
 
 
 class Watcher:
@@ -94,7 +32,7 @@
         self._reactor = reactor
         self._log = log
         self._state_machine = WatchStateMachine()
-        self._open: dict[int, _WatchProtocol] = {}
+        self._open: dict[int, WatchConnection] = {}
         self._reading = False
         self._needs_full_list = False  # a list was lost: the one held may lack changes of its generation
         self._timer: Any = None  # due at ``_due_at`` or earlier; an early tick does nothing
@@ -135,16 +73,15 @@
 
     def _connect(self, number: int) -> None:
         host, port = self.address.host, self.address.port
-        protocol = _WatchProtocol(
-            self, number, Watch(f"{host}:{port}", 0 if self._needs_full_list else self.generation)
-        )
-        self._open[number] = protocol
+        watch = Watch(f"{host}:{port}", 0 if self._needs_full_list else self.generation)
+        connection = WatchConnection(number, watch, self.data_received, self.ended)
+        self._open[number] = connection
         try:
-            protocol.connector = self._reactor.connectTCP(
-                host, port, _WatchFactory(protocol), timeout=2 * SILENCE_TIMEOUT / 1e9
+            connection.connector = self._reactor.connectTCP(
+                host, port, WatchConnectionFactory(connection), timeout=2 * SILENCE_TIMEOUT / SECOND
             )
         except Exception as problem:  # noqa: BLE001  # e.g. no descriptor: a failed watch, retried after its delay
-            self.ended(protocol, f"cannot connect: {problem!r}")
+            self.ended(connection, f"cannot connect: {problem!r}")
 
     def _log_limited(self, log_method: Callable[..., None], event: str, **facts: Any) -> None:
         """Logs at most one line a second for each event, with the number of lines suppressed."""
@@ -177,7 +114,7 @@
         self.catch_up()
         self._perform(self._state_machine.tick(self._now()))
 
-    def _note_incomplete(self, connection: _WatchProtocol) -> None:
+    def _note_incomplete(self, connection: WatchConnection) -> None:
         if connection.watch.buffered_octets:
             self._needs_full_list = True
 
@@ -192,7 +129,7 @@
                 if data := connection.read_pending():
                     connection.dataReceived(data)
 
-    def data_received(self, connection: _WatchProtocol, data: bytes) -> None:
+    def data_received(self, connection: WatchConnection, data: bytes) -> None:
         """Takes octets of an open watch, and reads what else waits in its socket."""
         had_head = connection.watch.head_received
         lists: list[Listing] = []
@@ -207,7 +144,7 @@
         elif connection.watch.head_received and not had_head:
             self._perform(self._state_machine.head_received(connection.number, self._now()))
 
-    def _read(self, connection: _WatchProtocol, data: bytes, lists: list[Listing]) -> ValueError | None:
+    def _read(self, connection: WatchConnection, data: bytes, lists: list[Listing]) -> ValueError | None:
         """Appends the lists in the octets to ``lists``. Returns why the watch is unusable, or None."""
         try:
             for _ in range(MAX_READS):
@@ -243,7 +180,7 @@
             return self._program_error(fault, "applied")
         return None
 
-    def _reject(self, connection: _WatchProtocol, problem: Exception) -> None:
+    def _reject(self, connection: WatchConnection, problem: Exception) -> None:
         self._needs_full_list = True
         self._log_limited(self._log.error, "discovery_list_rejected", problem=str(problem)[:300])
         connection.abort()
@@ -258,7 +195,7 @@
         self.generation = listing.generation
         self._needs_full_list = self._needs_full_list and not listing.reset
 
-    def ended(self, connection: _WatchProtocol, reason: str) -> None:
+    def ended(self, connection: WatchConnection, reason: str) -> None:
         """A watch has ended: the next one is opened after a delay."""
         if self._open.pop(connection.number, None) is None:
             return
