Log servers that leave service, watches that come into use, and the age of the list

Cause: the logs of the incident did not say how old the list was by which requests were routed, for how long discovery was not heard, or when a server was last sent to as it began to drain.

Change: events server_withdrawn (server, state, ms since the last attempt was written to it, attempts withdrawn) and discovery_watch_established (ms without a watch); view has discovery's phase, version, list age and open watches. The description of list changes moves from endpoint_set.py to list_change.py.

--- a/tests/gateway/test_race_lists.py
+++ b/tests/gateway/test_race_lists.py
@@ -3,7 +3,8 @@
 import pytest
 
 from tests.support.delayed_gateway import COPY, DRAINS, LONE, MOVED, Place, Scripted
-from yardbank.gateway import ServerSpec
+from tests.support.virtual_gateway import READ
+from yardbank.gateway import Limits, ServerSpec
 from yardbank.interface import Outcome, Probed, Send, ServerList
 
 FOR_EACH_CHANGE = pytest.mark.parametrize("change", [DRAINS, None, MOVED], ids=["drains", "gone", "moved"])
@@ -54,6 +55,19 @@
     assert harness.backend.sent == [(second, "op")]
 
 
+@pytest.mark.parametrize(("change", "state"), [(DRAINS, "draining"), (None, "gone"), (MOVED, "moved")])
+def test_server_that_gets_no_new_attempts_is_logged_with_its_last_attempt(change, state):
+    harness = Place(LONE, classes=(READ,), limits=Limits(multiplex=1))
+    harness.ask()
+    harness.up()
+    harness.clock.advance(0.25)
+    for _ in range(2):  # one connection is busy: these wait for another
+        harness.ask()
+    harness.gateway.apply_changes({"p": change})
+    (line,) = [facts for event, facts in harness.log.lines if event == "server_withdrawn"]
+    assert line == {"server": "p", "state": state, "last_attempt_ms": 250, "attempts_withdrawn": 2}
+
+
 def test_attempt_decided_on_drain_event_is_not_withdrawn():
     harness = Place(router=Scripted)
     harness.router.script = lambda event: (
--- a/tests/platform/test_watch.py
+++ b/tests/platform/test_watch.py
@@ -48,8 +48,31 @@
     return reactor, watcher, got, log
 
 
+def faults(log):
+    """The faults that were logged, in order; ``established`` has the watches that came into use."""
+    return [line for line in log.lines if line[0] != "discovery_watch_established"]
+
+
 def events(log):
-    return [event for event, _ in log.lines]
+    return [event for event, _ in faults(log)]
+
+
+def established(log):
+    return [facts for event, facts in log.lines if event == "discovery_watch_established"]
+
+
+def test_a_watch_that_comes_into_use_is_logged_with_the_time_without_one():
+    reactor, watcher, _, log = open_watcher()
+    assert watcher.view() == {"phase": "connecting", "generation": 41, "open": 1, "list_age_ms": None}
+    reactor.pass_time(0.25)
+    made, _ = reactor.accept(0, HEAD + chunk(LINE))
+    assert established(log) == [{"address": "127.0.0.9:8500", "unheard_ms": 250, "left_out": 0}]
+    reactor.pass_time(1)
+    assert watcher.view() == {"phase": "streaming", "generation": 43, "open": 1, "list_age_ms": 1000}
+    made.connectionLost()
+    reactor.pass_time(0.5)
+    reactor.accept(1, HEAD + chunk(LINE))
+    assert [facts["unheard_ms"] for facts in established(log)] == [250, 500]
 
 
 def test_an_ended_watch_is_reopened_at_the_last_version_after_the_shortest_delay():
@@ -132,7 +155,7 @@
     assert (
         transport.disconnecting
         and reactor.connects == [0, 4]
-        and log.lines
+        and faults(log)
         == [("discovery_silent", {"address": "127.0.0.9:8500", "waiting": len(list_start) + 28, "left_out": 0})]
     )
     _, transport = reactor.accept(1, HEAD + chunk(LINE))
@@ -153,7 +176,7 @@
     two_entries = orjson.dumps({"generation": 44, "reset": False, "instances": [ENTRY, {"instanceId": "b"}]})
     _, transport = reactor.accept(0, HEAD + chunk(LINE + two_entries + LINE))
     assert [listing.generation for listing in got] == [43] and transport.disconnecting
-    assert log.lines[0] == ("discovery_list_rejected", {"problem": "instances[1].hostPort: missing", "left_out": 0})
+    assert faults(log)[0] == ("discovery_list_rejected", {"problem": "instances[1].hostPort: missing", "left_out": 0})
     reactor.advance(0.06)
     made, transport = reactor.accept(1, HEAD + chunk(LINE))
     made.connectionLost()
--- a/yardbank/gateway/endpoint_set.py
+++ b/yardbank/gateway/endpoint_set.py
@@ -11,15 +11,15 @@
 
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass, field
 from functools import partial
 
 from yardbank import interface as api
-from yardbank.gateway.api import Backend, ServerSpec
+from yardbank.gateway.api import MS, Backend, ServerSpec
 from yardbank.gateway.attempt import Attempt
 from yardbank.gateway.clock import started_at
 from yardbank.gateway.context import GatewayContext
 from yardbank.gateway.event_queue import EventQueue
+from yardbank.gateway.list_change import ListChange, describe_change, invalidates_attempts
 from yardbank.gateway.positions import Positions
 from yardbank.gateway.send_check import SendCheck
 from yardbank.gateway.server_link import ServerLink
@@ -29,43 +29,6 @@
 MAX_NAMES_LOGGED = 20
 
 
-def _invalidates_attempts(old: ServerSpec, new: ServerSpec) -> bool:
-    """Whether a server starts draining, moves, or becomes a different server to the router."""
-    if old.state != "draining" and new.state == "draining":
-        return True
-    return (old.host, old.port, old.group, old.zone) != (new.host, new.port, new.group, new.zone)
-
-
-def _describe_change(old: ServerSpec | None, new: ServerSpec) -> str:
-    """Describe a changed entry for the log: name, state, role and start, and which of them changed."""
-    role = "primary" if new.primary else "replica"
-    text = f"{new.name} {new.state} {role}"
-    if new.started:
-        text += f" started {new.started:.3f}"
-    if old is None:
-        return f"{text}: new"
-    pairs = {
-        "state": old.state == new.state,
-        "role": old.primary == new.primary,
-        "start": old.started == new.started,
-        "address": (old.host, old.port) == (new.host, new.port),
-    }
-    return f"{text}: {', '.join(name for name, is_same in pairs.items() if not is_same) or 'other fields'}"
-
-
-@dataclass(slots=True)
-class _ListChange:
-    """A server list update while it is being applied."""
-
-    entries: list[str] = field(default_factory=list)  # what changed, for the log
-    members: list[api.Member] = field(default_factory=list)
-    left_group: list[api.Member] = field(default_factory=list)  # still listed, but as a different server to the router
-    removed: list[str] = field(default_factory=list)
-    invalidated: dict[int, ServerLink | None] = field(
-        default_factory=dict
-    )  # servers whose pending attempts no longer apply, with their old links
-
-
 class EndpointSet:
     """Servers by name and number, and a link to each.
 
@@ -174,7 +137,7 @@
     def _apply(self, changes: Mapping[str, ServerSpec | None], version: int) -> None:
         now, wall = self._context.now(), self._wall()
         is_first = not self.specs
-        change = _ListChange()
+        change = ListChange()
         for name, spec in changes.items():
             old = self.specs.get(name)
             if old == spec:
@@ -205,14 +168,14 @@
             self._retire(number)
         self._withdraw_invalidated(change)
 
-    def _remove(self, change: _ListChange, old: ServerSpec) -> None:
+    def _remove(self, change: ListChange, old: ServerSpec) -> None:
         number = self.server_numbers[old.name]
         change.removed.append(old.name)
         change.invalidated[number] = self.links.get(number)
         change.members.append(api.Member(number, old.zone, self.group_numbers[old.group], False, "gone"))
         del self.specs[old.name]
 
-    def _upsert(self, change: _ListChange, old: ServerSpec | None, spec: ServerSpec, now: int, wall: float) -> None:
+    def _upsert(self, change: ListChange, old: ServerSpec | None, spec: ServerSpec, now: int, wall: float) -> None:
         """Add a server, or update one whose entry has changed."""
         number = self.server_numbers.setdefault(spec.name, len(self.server_numbers) + 1)
         group = self.group_numbers.get(spec.group)
@@ -228,11 +191,11 @@
             started = self._start_times[number]  # the same start keeps its time even if the wall clock steps
         self._start_times[number] = started
         change.members.append(api.Member(number, spec.zone, group, spec.primary, spec.state, started, spec.weight))
-        change.entries.append(_describe_change(old, spec))
+        change.entries.append(describe_change(old, spec))
         self.specs[spec.name] = spec
 
-    def _detach_old_entry(self, change: _ListChange, number: int, old: ServerSpec, spec: ServerSpec) -> None:
-        if _invalidates_attempts(old, spec):
+    def _detach_old_entry(self, change: ListChange, number: int, old: ServerSpec, spec: ServerSpec) -> None:
+        if invalidates_attempts(old, spec):
             change.invalidated[number] = self.links.get(number)
         if (old.group, old.zone) != (spec.group, spec.zone):  # the router treats it as a different server
             old_group = self.group_numbers[old.group]
@@ -261,7 +224,7 @@
             self.latency_measured,
         )
 
-    def _notify_router(self, change: _ListChange, is_first: bool) -> None:
+    def _notify_router(self, change: ListChange, is_first: bool) -> None:
         """Pass the change to the router; the list number later shows which attempts were decided on before it."""
         updates = []
         if change.left_group:
@@ -272,13 +235,27 @@
         for update in updates:
             self._events.handle(update)
 
-    def _withdraw_invalidated(self, change: _ListChange) -> None:
+    def _withdraw_invalidated(self, change: ListChange) -> None:
         for number, link in change.invalidated.items():
             if link is None:
                 continue
-            link.withdraw(SendCheck.SUPERSEDED, partial(self._superseded, number))
+            withdrawn = link.withdraw(SendCheck.SUPERSEDED, partial(self._superseded, number))
             if self.links.get(number) is not link:
                 link.withdraw_probes()
+            self._log_withdrawn(link, withdrawn)
+
+    def _log_withdrawn(self, link: ServerLink, withdrawn: int) -> None:
+        """Log that a server gets no new attempts, and how long ago the last one was written to it."""
+        spec = self.specs.get(link.server.name)
+        state = "gone" if spec is None else spec.state
+        written_at = link.last_written_at
+        self._context.request_log.info(
+            "server_withdrawn",
+            server=link.server.name,
+            state=state if state != "ready" else "moved",
+            last_attempt_ms=None if written_at is None else (self._context.now() - written_at) // MS,
+            attempts_withdrawn=withdrawn,
+        )
 
     def last_invalidation(self, number: int) -> int:
         """Number of the list with which a server last started draining, moved or was removed; 0: none."""
--- a/yardbank/gateway/server_link.py
+++ b/yardbank/gateway/server_link.py
@@ -92,6 +92,7 @@
         self._deadlines = deadlines
         self._log = log
         self._on_latency = on_latency
+        self.last_written_at: int | None = None  # when an attempt was last written (ns)
         self._pool = ConnectionPool(server, backend, limits, deadlines, now, log, has_room, on_latency, self._write)
 
     @property
@@ -134,12 +135,18 @@
             self._deadlines.cancel(attempt.timer)
             attempt.timer = self._deadlines.add(valid_until, partial(self._on_deadline, attempt))
 
-    def withdraw(self, reason: SendCheck, matches: Callable[[Attempt], bool]) -> None:
-        """Withdraw the attempts selected by ``matches`` that wait for a connection: they end as never run."""
+    def withdraw(self, reason: SendCheck, matches: Callable[[Attempt], bool]) -> int:
+        """Withdraw the attempts selected by ``matches`` that wait for a connection: they end as never run.
+
+        Returns how many were withdrawn.
+        """
+        withdrawn = 0
         for pooled in list(self._pool.open_or_opening.values()):
             for attempt in list(pooled.waiting):
                 if not attempt.ended and matches(attempt):
                     attempt.end("moot", None, reason.value)
+                    withdrawn += 1
+        return withdrawn
 
     def cancel(self, attempt: Attempt) -> None:
         """Cancel an attempt; the server is told if the protocol allows it."""
@@ -180,6 +187,7 @@
         if attempt.ended:  # the check may have ended the attempt as a side effect
             return
         pooled.outstanding[attempt] = None
+        self.last_written_at = self.now()
         try:
             attempt.number = pooled.connection.submit(attempt.operation, attempt)
         except NotSentError as problem:
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -125,7 +125,9 @@
     def _log_view(self) -> None:
         """Logs the gateway's own figures, for comparison with the traffic on its sockets."""
         clients = {state.name.lower(): count for state in State if (count := self.admission.count(state))}
-        self.log.info("view", **self.gateway.view(), clients=clients, **self.factory.counts)
+        self.log.info(
+            "view", **self.gateway.view(), discovery=self.watcher.view(), clients=clients, **self.factory.counts
+        )
         self.gateway.call_at(self.gateway.now() + VIEW_INTERVAL, self._log_view)
 
     def handle_signal(self, number: int, environment: Mapping[str, str]) -> None:
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -14,7 +14,7 @@
 from yardbank.platform.json_stream import Token
 from yardbank.platform.listing import Listing, merge_listings
 from yardbank.platform.watch_connection import WatchConnection, WatchConnectionFactory
-from yardbank.platform.watch_state import SILENCE_TIMEOUT, Actions, WatchStateMachine
+from yardbank.platform.watch_state import SILENCE_TIMEOUT, Actions, Phase, WatchStateMachine
 
 LOG_INTERVAL = SECOND  # between log lines of one event that discovery can cause at will
 MAX_READS = 16  # reads in a row
@@ -34,6 +34,8 @@
         self._state_machine = WatchStateMachine()
         self._open: dict[int, WatchConnection] = {}
         self._reading = False
+        self._not_streaming_since: int | None = 0  # ns; None while a watch is in use
+        self._heard_at: int | None = None  # when a list was last applied (ns)
         self._needs_full_list = False  # a list was lost: the one held may lack changes of its generation
         self._timer: Any = None  # due at ``_due_at`` or earlier; an early tick does nothing
         self._due_at = 0
@@ -41,6 +43,7 @@
 
     def start(self) -> None:
         """Starts watching."""
+        self._not_streaming_since = self._now()
         self._perform(self._state_machine.start(self._now()))
 
     def move(self, address: Address) -> None:
@@ -56,6 +59,15 @@
         """Stops watching."""
         self._perform(self._state_machine.stop())
 
+    def view(self) -> dict[str, Any]:
+        """Returns the state of watching discovery, for the log."""
+        return {
+            "phase": self._state_machine.phase.name.lower(),
+            "generation": self.generation,
+            "open": len(self._open),
+            "list_age_ms": None if self._heard_at is None else (self._now() - self._heard_at) // MS,
+        }
+
     def _now(self) -> int:
         return int(self._reactor.seconds() * SECOND)
 
@@ -69,8 +81,25 @@
             connection.abort()
         if actions.connect is not None:
             self._connect(actions.connect)
+        self._log_phase()
         self._schedule_tick()
 
+    def _log_phase(self) -> None:
+        """Logs that a watch is in use again, and for how long none was."""
+        now = self._now()
+        if self._state_machine.phase is not Phase.STREAMING:
+            if self._not_streaming_since is None:
+                self._not_streaming_since = now
+        elif self._not_streaming_since is not None:
+            unheard = now - self._not_streaming_since
+            self._not_streaming_since = None
+            self._log_limited(
+                self._log.info,
+                "discovery_watch_established",
+                address=f"{self.address.host}:{self.address.port}",
+                unheard_ms=unheard // MS,
+            )
+
     def _connect(self, number: int) -> None:
         host, port = self.address.host, self.address.port
         watch = Watch(f"{host}:{port}", 0 if self._needs_full_list else self.generation)
@@ -193,6 +222,7 @@
         if listing.generation != self.generation:
             self._state_machine.list_changed()
         self.generation = listing.generation
+        self._heard_at = self._now()
         self._needs_full_list = self._needs_full_list and not listing.reset
 
     def ended(self, connection: WatchConnection, reason: str) -> None:
@@ -203,4 +233,5 @@
         delay = self._state_machine.ended(connection.number, self._now())
         if delay is not None:
             self._log_limited(self._log.info, "discovery_watch_ended", reason=reason, again_ms=delay // MS)
+        self._log_phase()
         self._schedule_tick()
