--- a/yardbank/testing/soak/discovery.py
+++ b/yardbank/testing/soak/discovery.py
@@ -12,6 +12,7 @@
 from yardbank.testing.soak.plan import DiscoveryFault
 
 BLANK_INTERVAL_S = 2.0  # seconds between keep-alive lines on a watch
+SILENT_WATCH_LIMIT_S = 6.0  # seconds after a watch fell silent from which the program counts as knowing what it missed
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -20,18 +21,23 @@
 
 
 class Discovery:
-    """Serves the list; calls ``drain_told`` for each drain that was written to a working watch."""
+    """Serves the list; calls ``drain_told`` with the times from which the program counts as knowing of a drain.
+
+    That is at the latest when the drain is written to a watch; at once if no watch is open and a new one would be
+    answered; at the end of an outage; and ``SILENT_WATCH_LIMIT_S`` after the watch that misses it fell silent.
+    """
 
     def __init__(self, instances: list[dict[str, Any]], drain_told: Callable[[ServerDrain], None]) -> None:
         self.generation = 41
         self.instances = instances
         self.is_down = False
+        self.first_list_delay = 0.0  # seconds until a new watch is answered
         self.port = 0
         self._drain_told = drain_told
-        self._untold_drains: set[str] = set()
+        self._unwritten_drains: set[str] = set()
         self._listening: asyncio.Server | None = None
-        self._watches: set[asyncio.StreamWriter] = set()
-        self._silent: set[asyncio.StreamWriter] = set()
+        self._watches: set[asyncio.StreamWriter] = set()  # those that were answered
+        self._silent_since: dict[asyncio.StreamWriter, float] = {}
 
     async def listen(self) -> None:
         """Listens on a free port."""
@@ -44,23 +50,20 @@
 
     def drain(self, name: str) -> None:
         """Marks a server as draining and sends the list."""
-        for instance in self.instances:
-            if instance["instanceId"] == name:
-                instance["lifecycle"] = "Terminating"
-        self.generation += 1
-        self._untold_drains.add(name)
-        if not self.is_down:
-            for writer in self._watches - self._silent:
-                self._send_list(writer)
+        self._unwritten_drains.add(name)
+        self.change(name, lifecycle="Terminating")
+        if name in self._unwritten_drains and not self.is_down:
+            since = max(self._silent_since.values(), default=None)
+            self._drain_told(ServerDrain(name, time.monotonic() if since is None else since + SILENT_WATCH_LIMIT_S))
 
     def change(self, name: str, **fields: Any) -> None:
         """Changes fields of a server's entry and sends the list."""
-        for instance in self.instances:
-            if instance["instanceId"] == name:
-                instance.update(fields)
+        self.instances = [
+            {**instance, **fields} if instance["instanceId"] == name else instance for instance in self.instances
+        ]
         self.generation += 1
         if not self.is_down:
-            for writer in self._watches - self._silent:
+            for writer in self._watches - self._silent_since.keys():
                 self._send_list(writer)
 
     def begin(self, fault: DiscoveryFault) -> None:
@@ -71,12 +74,14 @@
             if fault is DiscoveryFault.RESET:
                 writer.transport.abort()
             else:
-                self._silent.add(writer)
+                self._silent_since.setdefault(writer, time.monotonic())
 
     def end(self, fault: DiscoveryFault) -> None:
         """Ends a fault; watches that it silenced stay silent."""
         if fault is DiscoveryFault.DOWN:
             self.is_down = False
+            for name in self._unwritten_drains:
+                self._drain_told(ServerDrain(name, time.monotonic()))
 
     def close(self) -> None:
         """Closes the service and all watches."""
@@ -86,28 +91,28 @@
             writer.transport.abort()
 
     async def _watch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self._watches.add(writer)
         try:
             await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(self.first_list_delay)
             if self.is_down:  # accepted but never answered
-                self._silent.add(writer)
                 await reader.read()
                 return
+            self._watches.add(writer)
             writer.write(RESPONSE_HEAD)
             self._send_list(writer)
             while not writer.is_closing():
                 await asyncio.sleep(BLANK_INTERVAL_S)
-                if writer not in self._silent:
+                if writer not in self._silent_since:
                     writer.write(_chunk(b"\n"))
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # the watch or the run has ended
         finally:
             self._watches.discard(writer)
-            self._silent.discard(writer)
+            self._silent_since.pop(writer, None)
             writer.close()
 
     def _send_list(self, writer: asyncio.StreamWriter) -> None:
         writer.write(_chunk(json.dumps(self.document()).encode() + b"\n"))
-        for name in self._untold_drains:
+        for name in self._unwritten_drains:
             self._drain_told(ServerDrain(name, time.monotonic()))
-        self._untold_drains.clear()
+        self._unwritten_drains.clear()
--- a/yardbank/testing/soak/frames.py
+++ b/yardbank/testing/soak/frames.py
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True)
 class ServerDrain:
-    """A drain that discovery reported on a working watch."""
+    """A time from which the program counts as knowing that a server drains; the earliest of a server holds."""
 
     server: str
     told_at: float
--- a/yardbank/testing/soak/judge.py
+++ b/yardbank/testing/soak/judge.py
@@ -101,7 +101,9 @@
 
 
 def _drains(play: Play) -> Iterator[Violation]:
-    told = {drain.server: drain.told_at for drain in play.drains}
+    told: dict[str, float] = {}
+    for drain in play.drains:
+        told[drain.server] = min(drain.told_at, told.get(drain.server, drain.told_at))
     for attempt in play.attempts:
         late = attempt.first_octet_at - told.get(attempt.server, attempt.first_octet_at)
         allowed = (
--- a/yardbank/testing/soak/plan.py
+++ b/yardbank/testing/soak/plan.py
@@ -109,6 +109,8 @@
     signals: tuple[SignalStep, ...]
     terminate_at: float
     replication: Replication | None = None  # None: replicas are never behind and the primary never changes
+    drained_before_start: tuple[int, ...] = ()  # servers that drain; the list in the program's configuration is older
+    first_list_delay: float = 0.0  # until discovery answers a new watch
 
     @property
     def kill_at(self) -> float:
@@ -123,6 +125,7 @@
     effect = random.choice(["side_effect", "side_effect", "token"])
     terminate_at = random.uniform(1.5, 3.0)
     servers = random.randrange(3, 6)
+    start = Random(f"soak/start/{seed}")  # of its own: what is drawn here leaves the rest of a seed's plan as it is
     return Plan(
         seed=seed,
         deadlines={"lookup": round(longest * random.uniform(0.5, 1), 3), "commit": longest},
@@ -138,6 +141,8 @@
         crowd=random.choice([0, 0, 20, 40]),
         signals=_signals(random, terminate_at),
         terminate_at=terminate_at,
+        drained_before_start=tuple(start.sample(range(1, servers), start.randrange(servers - 1))),
+        first_list_delay=start.choice([0.0, 0.0, 0.1, 0.4, 1.0]),
     )
 
 
@@ -157,6 +162,8 @@
         crowd=0,
         signals=_signals(random, terminate_at),
         terminate_at=terminate_at,
+        drained_before_start=(),
+        first_list_delay=0.0,
         replication=Replication(
             checked=random.random() < 0.25,
             staleness_bound=random.choice([0.3, 0.5, 0.8]),
--- a/yardbank/testing/soak/play.py
+++ b/yardbank/testing/soak/play.py
@@ -150,6 +150,9 @@
             "known": self._discovery.document(),
         }
         file.write_text(json.dumps(document))
+        self._discovery.first_list_delay = self._plan.first_list_delay
+        for number in self._plan.drained_before_start:  # counts as known from the first moment of the process
+            self._discovery.drain(self._servers[number].name)
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
