Soak: a drain that a silent watch misses during an outage is known 6 s after it fell silent

Change: at the end of an outage a drain is known at once only if no answered watch is open; otherwise 6 s after it fell silent, as was so for watches that fall silent without an outage.

--- a/yardbank/testing/soak/discovery.py
+++ b/yardbank/testing/soak/discovery.py
@@ -23,8 +23,8 @@
 class Discovery:
     """Serves the list; calls ``drain_told`` with the times from which the program counts as knowing of a drain.
 
-    That is at the latest when the drain is written to a watch; at once if no watch is open and a new one would be
-    answered; at the end of an outage; and ``SILENT_WATCH_LIMIT_S`` after the watch that misses it fell silent.
+    That is at the latest when the drain is written to a watch; at once, or at the end of an outage, if no watch is open
+    that was answered; and ``SILENT_WATCH_LIMIT_S`` after an open watch that misses it fell silent.
     """
 
     def __init__(self, instances: list[dict[str, Any]], drain_told: Callable[[ServerDrain], None]) -> None:
@@ -52,9 +52,15 @@
         """Marks a server as draining and sends the list."""
         self._unwritten_drains.add(name)
         self.change(name, lifecycle="Terminating")
-        if name in self._unwritten_drains and not self.is_down:
-            since = max(self._silent_since.values(), default=None)
-            self._drain_told(ServerDrain(name, time.monotonic() if since is None else since + SILENT_WATCH_LIMIT_S))
+        if not self.is_down:
+            self._tell_unwritten()
+
+    def _tell_unwritten(self) -> None:
+        """Drains that no watch has got count as known at once, or later if an open watch has fallen silent."""
+        since = max(self._silent_since.values(), default=None)
+        told_at = time.monotonic() if since is None else since + SILENT_WATCH_LIMIT_S
+        for name in self._unwritten_drains:
+            self._drain_told(ServerDrain(name, told_at))
 
     def change(self, name: str, **fields: Any) -> None:
         """Changes fields of a server's entry and sends the list."""
@@ -80,8 +86,7 @@
         """Ends a fault; watches that it silenced stay silent."""
         if fault is DiscoveryFault.DOWN:
             self.is_down = False
-            for name in self._unwritten_drains:
-                self._drain_told(ServerDrain(name, time.monotonic()))
+            self._tell_unwritten()
 
     def close(self) -> None:
         """Closes the service and all watches."""
