A process listens once discovery's first list is in force

Callers saw requests go to servers that had drained or been removed, a few times, at a gateway that had just started.

Cause: Service.start applied the list of the configuration, listened, and only then opened the watch. The configuration's list is what the gateway had before it ended; servers that drained since are ready in it. What discovery's agent holds counts as known from the first moment of the process, and loading takes longer than the grace of 0.5 s. So every request written between the first accept and the first list could break the rule.

The soak reproduced it with a slow answer and with failing connects.

Change: Readiness (platform/readiness.py) lets the program listen with the first list, or after 4 s without one (discovery down; a restarted gateway has 6 s). SIGTERM while it waits ends it. A port that is taken is reported when it listens. Class of bug: stored state is used before its source has been asked.

Changed in what it expects: signals during startup, which were carried out 'once the program serves' and are now carried out before it does: it must end without having listened, as strict as the order that was checked.

--- a/tests/platform/test_broken_settings.py
+++ b/tests/platform/test_broken_settings.py
@@ -11,7 +11,18 @@
 import orjson
 import pytest
 
-from tests.support.platform import CONFIG, ENTRY, START, Log, Reactor, listening, query, serving
+from tests.support.platform import (
+    CONFIG,
+    ENTRY,
+    START,
+    Log,
+    Reactor,
+    accept_watch,
+    listening,
+    query,
+    read_until_listening,
+    start_program,
+)
 from yardbank.gateway.api import SECOND
 from yardbank.platform.client import EMPTY_QUERY_ANSWER
 from yardbank.platform.config import PlatformError, read_config
@@ -173,9 +184,10 @@
     with socket.create_server(("127.0.0.1", 0)) as discovery, socket.create_server(("127.0.0.1", 0)) as other:
         discovery.settimeout(30)
         other.settimeout(30)
-        process, port, _, file = serving(tmp_path, discovery.getsockname()[1])
+        process, port, file = start_program(tmp_path, discovery)
         try:
-            watch, _ = discovery.accept()
+            watch, _ = accept_watch(discovery)
+            read_until_listening(process)
             for octets, name in BAD.values():
                 file.write_bytes(octets)
                 process.send_signal(signal.SIGHUP)
--- a/tests/platform/test_connection_end.py
+++ b/tests/platform/test_connection_end.py
@@ -185,7 +185,7 @@
 
 @pytest.mark.parametrize("clients", [12])
 def test_every_open_connection_is_answered_until_the_program_exits(tmp_path, clients):
-    process, port, lines, _ = serving(tmp_path, 9, "-X", "importtime")
+    process, port, lines, _watch = serving(tmp_path, "-X", "importtime")
     ends = {}
 
     def keep_asking(number, client, in_halves):
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -55,7 +55,7 @@
         known = {"generation": 41, "reset": True, "instances": [entry]}
         limits = {"cores": 0.5, "memory_mb": MEMORY_MB, "sockets": 256}
         settings = {**ENV, "services": SERVICES, "ceilings": {"connect_timeout": 500 * MS}}
-        process, port, _, _ = serving(tmp_path, 9, known=known, limits=limits, settings=settings)
+        process, port, _, _watch = serving(tmp_path, known=known, limits=limits, settings=settings)
         clients = []
         try:
             for _ in range(150):
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -23,11 +23,12 @@
     WRITE,
     chunk,
     connected,
+    discovery_listener,
     parameter,
     query,
     row,
     service,
-    serving,
+    start_program,
 )
 from yardbank.gateway.api import SECOND
 from yardbank.platform.client import EMPTY_QUERY_ANSWER
@@ -147,16 +148,9 @@
     assert b"Traceback" not in ended.stderr
 
 
-def agent():
-    """Discovery's agent on its own port."""
-    server = socket.create_server(("127.0.0.1", 0))
-    server.settimeout(30)
-    return server, server.getsockname()[1]
-
-
 def test_an_indented_list_a_reset_and_a_move_over_real_sockets(tmp_path):
-    (first, port), (second, other) = agent(), agent()
-    process, _, _, file = serving(tmp_path, port)
+    first, second = discovery_listener(), discovery_listener()
+    process, _, file = start_program(tmp_path, first)
     try:
         listing = {"generation": 50, "reset": True, "instances": [{**ENTRY, "instanceId": f"s-{n}"} for n in range(3)]}
         for index in (b"index=41 ", b"index=50 "):
@@ -168,11 +162,11 @@
             watch.sendall(HEAD + chunk(b"\n") + indented[:99])
             watch.sendall(indented[99:])
             if index == b"index=41 ":
-                applied = json.loads(next(line for line in process.stderr if b"list_applied" in line))
-                assert applied["servers"] == 3
+                applied = [json.loads(next(line for line in process.stderr if b"list_applied" in line)) for _ in "ab"]
+                assert [each["servers"] for each in applied] == [1, 3]  # the known list, then discovery's
                 watch.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
                 watch.close()  # causes a reset
-        file.write_bytes(orjson.dumps({**CONFIG, "discovery": f"127.0.0.1:{other}"}))
+        file.write_bytes(orjson.dumps({**CONFIG, "discovery": f"127.0.0.1:{second.getsockname()[1]}"}))
         process.send_signal(signal.SIGHUP)
         moved, _ = second.accept()
         moved.settimeout(30)
--- a/tests/platform/test_race_program.py
+++ b/tests/platform/test_race_program.py
@@ -12,7 +12,20 @@
 import orjson
 import pytest
 
-from tests.support.platform import AUTHENTICATED, ENTRY, ENV, HEAD, READ, READY, START, chunk, query, row, serving
+from tests.support.platform import (
+    AUTHENTICATED,
+    ENTRY,
+    ENV,
+    READ,
+    READY,
+    START,
+    accept_watch,
+    chunk,
+    query,
+    read_until_listening,
+    row,
+    start_program,
+)
 from yardbank.platform.client import EMPTY_QUERY_ANSWER
 
 TCP_FIN_WAIT1 = 4  # Linux: a FIN was sent that the peer has not acknowledged
@@ -41,9 +54,9 @@
             each.settimeout(60)
         self.ports = [each.getsockname()[1] for each in self.listening]
         known = {"generation": 41, "reset": True, "instances": [self.entry(0)]}
-        self.process, self.port, _, _ = serving(tmp_path, self.ports[2], settings=settings(aim), known=known)
-        self.watch = self.accept(2)
-        self.watch.recv(1000)
+        self.process, self.port, _ = start_program(tmp_path, self.listening[2], settings=settings(aim), known=known)
+        self.watch, _ = accept_watch(self.listening[2])
+        read_until_listening(self.process)
         self.bystander = self.client()
 
     def entry(self, server, **change):
@@ -70,7 +83,7 @@
     def send_list(self, *instances):
         """Sends a change of the server list."""
         listing = {"generation": 42, "reset": False, "instances": instances}
-        self.watch.sendall(HEAD + chunk(orjson.dumps(listing) + b"\n"))
+        self.watch.sendall(chunk(orjson.dumps(listing) + b"\n"))
 
     def wait_for_list(self):
         """Waits until the program has applied the list."""
--- a/tests/platform/test_race_signals.py
+++ b/tests/platform/test_race_signals.py
@@ -38,7 +38,7 @@
 
 
 @pytest.mark.parametrize("numbers", [[HUP], [TERM], [INT], [HUP, TERM], [TERM, HUP], [TERM, TERM]], ids=str)
-def test_signals_during_startup_are_handled_once_the_program_serves(tmp_path, numbers):
+def test_signals_during_startup_are_handled_once_the_program_waits_for_its_first_list(tmp_path, numbers):
     with socket.create_server(("127.0.0.1", 0)) as agent:
         agent.settimeout(30)
         process, pipe, first = start_blocked(tmp_path, agent.getsockname()[1])
@@ -51,13 +51,13 @@
                 agent.accept()[0].close()  # discovery is at the address of the new configuration
             if numbers == [HUP]:
                 process.send_signal(TERM)
-            written = process.stderr.read()
+            written = process.stderr.read()  # to its end, while discovery answers nothing
             assert process.wait(30) == 0
         finally:
             process.kill()
             process.wait()
     events = [orjson.loads(line)["event"] for line in written.splitlines()]
-    assert events.index("listening") < events.index("stop_asked") < events.index("ended")
+    assert events.index("view") < events.index("stop_asked") < events.index("ended") and "listening" not in events
     assert events.count("stop_asked") == 1 and events.count("reloaded") == numbers.count(HUP)
 
 
@@ -78,7 +78,7 @@
     """The process sends itself the signal while modules are torn down, after its Python handlers were removed."""
     (tmp_path / "sitecustomize.py").write_text(SIGNAL_AT_EXIT.format(number=int(number)))
     monkeypatch.setenv("PYTHONPATH", str(tmp_path))
-    process, _, _, _ = serving(tmp_path, 9)
+    process, _, _, _watch = serving(tmp_path)
     process.send_signal(TERM)
     log = process.stderr.read()
     assert process.wait(60) == 0 and b'"ended"' in log
@@ -154,7 +154,7 @@
 @pytest.mark.parametrize("when", ["asked to stop", "due to drain"])
 def test_requests_around_a_stop_signal_to_a_suspended_process_are_answered(tmp_path, when):
     """The process is suspended and resumed, so that signal, timers and client data are handled in one reactor turn."""
-    process, port, lines, _ = serving(tmp_path, 9)
+    process, port, lines, _watch = serving(tmp_path)
     clients = []
     try:
         for _ in range(8):
--- /dev/null
+++ b/tests/platform/test_readiness.py
@@ -0,0 +1,79 @@
+"""The start: clients are served once discovery's first list is in force, or after a limited wait for it."""
+
+import signal
+
+import pytest
+from twisted.internet.error import CannotListenError
+
+from tests.support.platform import ENTRY, HEAD, LINE, Log, Reactor, chunk, connected, service
+from yardbank.gateway.api import SECOND
+from yardbank.platform.readiness import MAX_WAIT_S
+from yardbank.platform.service import Service
+from yardbank.platform.stop_schedule import KILL_AFTER
+
+READY_WITHIN_S = 6.0  # of a restarted gateway, by the platform's documentation
+
+
+def events(log):
+    return [event for event, _ in log.lines]
+
+
+def test_no_client_is_accepted_before_the_first_list_of_discovery(tmp_path):
+    made, reactor, log, _ = service(tmp_path, hears_list=False)
+    watch, _, _ = connected(reactor)
+    watch.dataReceived(HEAD + chunk(b"\n"))
+    reactor.advance(1)
+    watch.dataReceived(chunk(LINE[:40]))
+    assert not reactor.tcpServers and "listening" not in events(log)
+    watch.dataReceived(chunk(LINE[40:]))
+    assert len(reactor.tcpServers) == 1 and made.gateway.list_version == 43
+    assert events(log).index("list_entries") < events(log).index("listening") and "discovery_unheard" not in events(log)
+    reactor.advance(10)
+    assert len(reactor.tcpServers) == 1
+
+
+def test_a_list_that_is_rejected_is_no_first_list(tmp_path):
+    _, reactor, _, _ = service(tmp_path, hears_list=False)
+    watch, _, _ = connected(reactor)
+    watch.dataReceived(HEAD + chunk(LINE.replace(b"127.0.0.1:6432", b"nowhere")))
+    assert not reactor.tcpServers
+    reactor.advance(0.1)
+    watch, _, _ = connected(reactor)
+    watch.dataReceived(HEAD + chunk(LINE))
+    assert len(reactor.tcpServers) == 1
+
+
+def test_without_discovery_the_known_list_is_served_after_a_limited_wait(tmp_path):
+    made, reactor, log, _ = service(tmp_path, hears_list=False)
+    reactor.pump([0.1] * (int(MAX_WAIT_S * 10) - 1))
+    assert not reactor.tcpServers
+    reactor.pump([0.1] * 3)
+    assert len(reactor.tcpServers) == 1 and MAX_WAIT_S + 1 < READY_WITHIN_S
+    assert ("discovery_unheard", {"version": 41, "note": "serving by the known list"}) in log.lines
+    assert made.gateway.groups == {str(ENTRY["cell"])}
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_stop_before_the_first_list_ends_the_process_before_the_earliest_kill(tmp_path, number):
+    made, reactor, log, _ = service(tmp_path, hears_list=False)
+    reactor.advance(0.5)
+    made.handle_signal(number, {})
+    made.handle_signal(number, {})
+    reactor.pump([0.01] * (KILL_AFTER // (SECOND // 100)))
+    assert reactor.stops == 1 and not reactor.tcpServers and events(log).count("stop_asked") == 1
+    reactor.advance(10)
+    assert reactor.stops == 1 and not reactor.tcpServers
+
+
+def test_an_address_that_is_taken_when_the_first_list_arrives_ends_the_program(tmp_path):
+    def listen(reactor, host, port, factory):
+        raise CannotListenError(host, port, OSError(98, "Address already in use"))
+
+    made, _, _, _ = service(tmp_path, hears_list=False)
+    reactor = Reactor()
+    taken = Service(made.config, reactor, Log(), listen)
+    taken.start()
+    watch, _, _ = connected(reactor)
+    watch.dataReceived(HEAD + chunk(LINE))
+    reactor.pump([0.01] * 10)
+    assert reactor.stops == 1 and taken.failure.startswith("NODE_LISTEN: ")
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -13,6 +13,7 @@
 from typing import Any
 
 import structlog
+from twisted.internet.error import CannotListenError
 
 from yardbank.gateway.api import MS, SECOND, Limits
 from yardbank.gateway.gateway import Gateway
@@ -24,6 +25,7 @@
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
 from yardbank.platform.memory_budget import MemoryBudget
+from yardbank.platform.readiness import Readiness
 from yardbank.platform.signals import Signals
 from yardbank.platform.statement import unreachable_classes
 from yardbank.platform.stop_schedule import MAX_GRACE, StopSchedule
@@ -97,18 +99,31 @@
             MemoryBudget.of(config.memory_mb),
         )
         self.watcher = Watcher(config.discovery, config.known.generation, self._apply_listing, reactor, log)
+        self._readiness = Readiness(reactor.callLater, self._begin_serving)
+        self.failure = ""  # why the program could not serve
         self._port: Any = None
+        self._stop_requested = False
         self._end_timer: Any = None
         self._has_ended = self._watching_ended = False
         self._stop_asked_at = 0.0  # s, on the reactor's clock
 
     def start(self) -> None:
-        """Applies the known list, listens for clients and watches discovery."""
+        """Applies the known list and watches discovery; listens for clients once discovery's first list is in force."""
         self.gateway.apply_list(specs(self.config.known), self.config.known.generation)
-        listen = self.config.listen
-        self._port = self._listen(self._reactor, listen.host, listen.port, self.factory)
+        self._readiness.wait()
         self.watcher.start()
         self._log_view()
+
+    def _begin_serving(self, is_list_heard: bool) -> None:
+        if not is_list_heard:
+            self.log.warning("discovery_unheard", version=self.gateway.list_version, note="serving by the known list")
+        listen = self.config.listen
+        try:
+            self._port = self._listen(self._reactor, listen.host, listen.port, self.factory)
+        except CannotListenError as problem:
+            self.failure = f"NODE_LISTEN: {problem}"
+            self.stop()
+            return
         classes = {
             each.name: (each.latency_objective // MS, each.deadline // MS) for each in self.config.settings.classes
         }
@@ -121,6 +136,7 @@
             self.gateway.apply_list(specs(listing), listing.generation)
         else:
             self.gateway.apply_changes(listing.entries, listing.generation)
+        self._readiness.list_heard()
 
     def _log_view(self) -> None:
         """Logs the gateway's own figures, for comparison with the traffic on its sockets."""
@@ -157,11 +173,18 @@
 
     def stop(self) -> None:
         """Serves for a moment longer, as clients still connect; then takes nothing new and answers what was taken."""
-        if not self.factory.stopping and self._port is not None:
-            self.log.info("stop_asked", owed=self.gateway.unanswered)
-            port, self._port = self._port, None
-            self._stop_asked_at = self._reactor.seconds()
-            self._reactor.callLater(self._stop_schedule.drain_at / SECOND, self._after_socket_reads, self._drain, port)
+        if self._stop_requested:
+            return
+        self._stop_requested = True
+        self._readiness.cancel()
+        self.log.info("stop_asked", owed=self.gateway.unanswered)
+        self._stop_asked_at = self._reactor.seconds()
+        if self._port is None:  # it has never listened
+            self._stop_gateway()
+        else:
+            self._reactor.callLater(
+                self._stop_schedule.drain_at / SECOND, self._after_socket_reads, self._drain, self._port
+            )
 
     def _since_stop_asked(self) -> int:
         return int((self._reactor.seconds() - self._stop_asked_at) * SECOND)
@@ -176,6 +199,9 @@
             self._after_socket_reads(self._drain, port, turns_left - 1)
             return
         port.stopListening()
+        self._stop_gateway()
+
+    def _stop_gateway(self) -> None:
         grace = self._stop_schedule.grace(self._since_stop_asked())
         self.gateway.stop(grace).addCallback(lambda _: self._after_socket_reads(self._close_clients))
 
@@ -226,7 +252,6 @@
         print(f"yardbank: {problem}", file=sys.stderr)
         return 2
     from twisted.internet import reactor as installed_reactor
-    from twisted.internet.error import CannotListenError
 
     reactor: Any = installed_reactor
     reactor.seconds = time.monotonic  # timers must not shift when the wall clock is set
@@ -236,9 +261,6 @@
     except PlatformError as problem:
         print(f"yardbank: {problem}", file=sys.stderr)
         return 2
-    except CannotListenError as problem:
-        print(f"yardbank: NODE_LISTEN: {problem}", file=sys.stderr)
-        return 2
     signals.set_handler(lambda number: reactor.callFromThread(service.handle_signal, number, os.environ))
     gc.collect()
     gc.freeze()
@@ -246,4 +268,7 @@
     gc.set_threshold(20_000, 20, 20)
     reactor.run(installSignalHandlers=False)
     signals.ignore()
+    if service.failure:
+        print(f"yardbank: {service.failure}", file=sys.stderr)
+        return 2
     return 0
