A move of discovery first applies what waits unread on the old watch

Cause: SIGHUP with a new address aborted the open watch with whatever its socket held. A drain that discovery had written counts as known, and came again only with the new address's first list, late if that is slow. Change: Watcher.move reads pending lists first. Evidence: the new test, on real sockets, failed before (no list applied) and passes.

--- a/tests/platform/test_race_discovery.py
+++ b/tests/platform/test_race_discovery.py
@@ -136,6 +136,19 @@
     assert b"index=0 " in request  # a list was cut off: the full list is requested
 
 
+# Guards against a drain that is written to the old watch, unread as it is aborted, and known to the gateway by then.
+def test_a_move_applies_lists_that_wait_unread_on_the_old_watch(agent):
+    agent.watcher.start()
+    watch, _ = agent.accept(HEAD + chunk(b"\n"))
+    agent.iterate()
+    agent.put(watch, chunk(a_list(43, "s-1", state="Terminating")) + chunk(a_list(44, "s-2")[:30]))
+    agent.watcher.move(OTHER_ADDRESS)
+    assert agent.generations() == [43] and agent.got[0].entries["s-1"].state == "draining"
+    (moved,) = agent.watcher._open.values()
+    assert b"index=0 " in moved.watch.request  # the list that was cut off is lost
+    watch.close()
+
+
 def test_catch_up_during_the_application_of_a_list_does_not_reenter_it():
     depth, most, taken = 0, 0, []
 
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -52,6 +52,7 @@
         While not watching (before ``start`` and after ``stop``) the address is only stored.
         """
         if address != self.address:
+            self.catch_up()  # what the old watch has received counts as known
             self.address = address
             self._perform(self._state_machine.move(self._now()))
 
