A reload whose file cannot be read is tried again for 3 s

Cause: SIGHUP read the configuration once. If that read failed for a moment (EIO, ENFILE), the gateway kept discovery's old address, which ends soon after, and no drain was known from then on. Change: Reloader (platform/reload.py) reads the file again every 0.1 s for up to 3 s, as the platform counts on the new address 4 s after the signal; content that is invalid is rejected at once as before; reload_given_up is logged at the end.

--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -1,5 +1,6 @@
 """The program: start, reload, stop, and the modules that it imports."""
 
+import errno
 import json
 import os
 import signal
@@ -7,6 +8,7 @@
 import struct
 import subprocess
 import sys
+from pathlib import Path
 
 import orjson
 import pytest
@@ -58,6 +60,42 @@
     assert ("list_applied", {"servers": 0, "changed": 1, "gone": ["s-1"]}) in log.lines
 
 
+# Guards against a gateway that keeps a dead address of discovery because one read of its configuration failed.
+@pytest.mark.parametrize("problem", [errno.EIO, errno.ENFILE], ids=errno.errorcode.get)
+def test_a_reload_whose_file_cannot_be_read_for_a_moment_is_tried_again(tmp_path, monkeypatch, problem):
+    made, reactor, log, file = service(tmp_path)
+    file.write_bytes(orjson.dumps({**CONFIG, "discovery": "127.0.0.9:8501"}))
+    read_bytes, failures = Path.read_bytes, [problem] * 3
+
+    def read(path):
+        if failures:
+            raise OSError(failures.pop(), "")
+        return read_bytes(path)
+
+    monkeypatch.setattr(Path, "read_bytes", read)
+    made.handle_signal(signal.SIGHUP, {"NODE_CONFIG": str(file)})
+    assert len(reactor.tcpClients) == 1
+    reactor.pump([0.05] * 40)
+    assert reactor.tcpClients[-1][:2] == ("127.0.0.9", 8501) and not failures
+    assert [event for event, _ in log.lines if str(event).startswith("reload")] == ["reload_rejected", "reloaded"]
+
+
+def test_a_reload_whose_file_stays_unreadable_is_given_up(tmp_path):
+    made, reactor, log, file = service(tmp_path)
+    file.unlink()
+    made.handle_signal(signal.SIGHUP, {"NODE_CONFIG": str(file)})
+    reactor.pump([0.05] * 200)
+    assert [event for event, _ in log.lines if str(event).startswith("reload")] == [
+        "reload_rejected",
+        "reload_given_up",
+    ]
+    file.write_bytes(orjson.dumps({**CONFIG, "discovery": "127.0.0.9:8501"}))
+    reactor.pump([0.05] * 200)
+    assert len({client[:2] for client in reactor.tcpClients}) == 1
+    made.handle_signal(signal.SIGHUP, {"NODE_CONFIG": str(file)})
+    assert reactor.tcpClients[-1][:2] == ("127.0.0.9", 8501)
+
+
 def test_a_new_seed_needs_no_restart_but_other_settings_do():
     held = read_config(orjson.dumps(CONFIG))
     assert needs_restart(held, read_config(orjson.dumps({**CONFIG, "seed": "1"}))) == []
--- a/yardbank/platform/config.py
+++ b/yardbank/platform/config.py
@@ -16,8 +16,6 @@
 from yardbank.wire import WireError, read_settings
 
 DEFAULT_IDLE_CLOSE_S = 30  # limit for idle connections, in seconds, if the settings give none
-
-
 MIN_SOCKETS = 64
 
 
@@ -25,6 +23,10 @@
     """The platform's configuration is invalid; the text names the variable or the field."""
 
 
+class ConfigFileError(PlatformError):
+    """The file cannot be read now, whatever it contains."""
+
+
 @dataclass(slots=True, frozen=True)
 class Address:
     """Where to connect or to listen."""
@@ -153,7 +155,7 @@
     try:
         document = Path(name).read_bytes()
     except OSError as problem:
-        raise PlatformError(f"NODE_CONFIG: {problem}") from None
+        raise ConfigFileError(f"NODE_CONFIG: {problem}") from None
     try:
         return read_config(document)
     except PlatformError as problem:
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -26,6 +26,7 @@
 from yardbank.platform.listing import Listing
 from yardbank.platform.memory_budget import MemoryBudget
 from yardbank.platform.readiness import Readiness
+from yardbank.platform.reload import Reloader
 from yardbank.platform.signals import Signals
 from yardbank.platform.statement import unreachable_classes
 from yardbank.platform.stop_schedule import MAX_GRACE, StopSchedule
@@ -99,6 +100,7 @@
             MemoryBudget.of(config.memory_mb),
         )
         self.watcher = Watcher(config.discovery, config.known.generation, self._apply_listing, reactor, log)
+        self._reloader = Reloader(reactor.callLater, self._apply_config, log)
         self._readiness = Readiness(reactor.callLater, self._begin_serving)
         self.failure = ""  # why the program could not serve
         self._port: Any = None
@@ -161,11 +163,9 @@
         if self._watching_ended:
             self.log.info("reload_ignored", note="the gateway is ending")
             return
-        try:
-            config = load_config(environment)
-        except PlatformError as problem:
-            self.log.error("reload_rejected", problem=str(problem))
-            return
+        self._reloader.reload(environment)
+
+    def _apply_config(self, config: PlatformConfig) -> None:
         for name in needs_restart(self.config, config):
             self.log.warning("reload_partial", field=name, note="cannot change in service; restart to apply it")
         self.watcher.move(config.discovery)
@@ -207,6 +207,7 @@
 
     def _close_clients(self) -> None:
         self._watching_ended = True
+        self._reloader.cancel()
         self.watcher.stop()
         close_time = self._stop_schedule.close_time(self._since_stop_asked())
         self._end_timer = self._reactor.callLater(close_time / SECOND, self._end)
