The program's main, log and exit code are a module of their own

Change: main, the log's set-up and the limit on descriptors move to platform/program.py; nothing else changes.

--- a/tests/support/soak_program.py
+++ b/tests/support/soak_program.py
@@ -88,6 +88,6 @@
     signals = Signals()
     signals.install()
     FAULTS[os.environ["SOAK_FAULT"]]()
-    from yardbank.platform.service import main
+    from yardbank.platform.program import main
 
     sys.exit(main(signals))
--- a/yardbank/platform/__main__.py
+++ b/yardbank/platform/__main__.py
@@ -7,6 +7,6 @@
 signals = Signals()
 signals.install()  # before any slow import
 
-from yardbank.platform.service import main  # noqa: E402
+from yardbank.platform.program import main  # noqa: E402
 
 sys.exit(main(signals))
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -1,18 +1,12 @@
-"""The program on the platform: wires the parts together and handles signals; makes no decisions itself."""
+"""One gateway on the platform: wires the parts together, starts, reloads and stops them; makes no decisions itself."""
 
 from __future__ import annotations
 
-import gc
-import logging
-import os
-import resource
 import signal
-import sys
 import time
 from collections.abc import Callable, Mapping
 from typing import Any
 
-import structlog
 from twisted.internet.error import CannotListenError
 
 from yardbank.gateway.api import MS, SECOND, Limits
@@ -21,13 +15,12 @@
 from yardbank.platform import listening
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
 from yardbank.platform.backend import PlatformBackend
-from yardbank.platform.config import PlatformConfig, PlatformError, load_config, needs_restart, specs, usable_sockets
+from yardbank.platform.config import PlatformConfig, needs_restart, specs, usable_sockets
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
 from yardbank.platform.memory_budget import MemoryBudget
 from yardbank.platform.readiness import Readiness
 from yardbank.platform.reload import Reloader
-from yardbank.platform.signals import Signals
 from yardbank.platform.statement import unreachable_classes
 from yardbank.platform.stop_schedule import MAX_GRACE, StopSchedule
 from yardbank.platform.watch import Watcher
@@ -222,54 +215,3 @@
             self.factory.abort_all()
             self.log.info("ended", **self.factory.counts)
             self._reactor.callLater(0, self._reactor.stop)
-
-
-def _configure_log() -> Any:
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso", utc=True),
-            structlog.processors.format_exc_info,
-            structlog.processors.JSONRenderer(default=str),
-        ],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-        cache_logger_on_first_use=True,
-    )
-    return structlog.get_logger()
-
-
-def _allowed_descriptors() -> int | None:
-    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
-    return None if allowed == resource.RLIM_INFINITY else allowed
-
-
-def main(signals: Signals) -> int:
-    """Serves until told to stop and returns the exit code. Signals during startup are handled once it serves."""
-    log = _configure_log()
-    try:
-        config = load_config(os.environ)
-    except PlatformError as problem:
-        print(f"yardbank: {problem}", file=sys.stderr)
-        return 2
-    from twisted.internet import reactor as installed_reactor
-
-    reactor: Any = installed_reactor
-    reactor.seconds = time.monotonic  # timers must not shift when the wall clock is set
-    try:
-        service = Service(config, reactor, log, allowed_descriptors=_allowed_descriptors())
-        service.start()
-    except PlatformError as problem:
-        print(f"yardbank: {problem}", file=sys.stderr)
-        return 2
-    signals.set_handler(lambda number: reactor.callFromThread(service.handle_signal, number, os.environ))
-    gc.collect()
-    gc.freeze()
-    # Requests are short-lived: collecting after each 700 objects, the default, costs a tenth of the performance.
-    gc.set_threshold(20_000, 20, 20)
-    reactor.run(installSignalHandlers=False)
-    signals.ignore()
-    if service.failure:
-        print(f"yardbank: {service.failure}", file=sys.stderr)
-        return 2
-    return 0
