A start waits for a socket that the system does not have for a moment

Found in the code that now listens later; no caller reported it. Cause: socket() for the listening port failing with ENFILE, EMFILE, ENOBUFS or ENOMEM ended the program with exit code 2, a failed start. Change: it is tried again every 50 ms for 2 s and logged (listen_failed); an address that cannot be used fails at once as before. Evidence: the new test fails before in its four cases and passes; one that lasts still ends with exit code 2.

--- a/tests/platform/test_readiness.py
+++ b/tests/platform/test_readiness.py
@@ -1,11 +1,12 @@
 """The start: clients are served once discovery's first list is in force, or after a limited wait for it."""
 
+import errno
 import signal
 
 import pytest
 from twisted.internet.error import CannotListenError
 
-from tests.support.platform import ENTRY, HEAD, LINE, Log, Reactor, chunk, connected, service
+from tests.support.platform import ENTRY, HEAD, LINE, Log, Reactor, chunk, connected, listening, service
 from yardbank.gateway.api import SECOND
 from yardbank.platform.readiness import MAX_WAIT_S
 from yardbank.platform.service import Service
@@ -65,6 +66,39 @@
     assert reactor.stops == 1 and not reactor.tcpServers
 
 
+# Guards against a start that fails because the system had no socket left for a moment.
+@pytest.mark.parametrize("problem", [errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM], ids=errno.errorcode.get)
+def test_a_socket_that_cannot_be_had_for_a_moment_delays_listening(tmp_path, problem):
+    failures = [problem] * 5
+
+    def listen(reactor, host, port, factory):
+        if failures:
+            raise CannotListenError(host, port, OSError(failures.pop(), "for a moment"))
+        return listening(reactor, host, port, factory)
+
+    made, _, _, _ = service(tmp_path, hears_list=False)
+    reactor, log = Reactor(), Log()
+    short_of_sockets = Service(made.config, reactor, log, listen)
+    short_of_sockets.start()
+    connected(reactor)[0].dataReceived(HEAD + chunk(LINE))
+    reactor.pump([0.05] * 20)
+    assert len(reactor.tcpServers) == 1 and not reactor.stops and not short_of_sockets.failure
+    assert [event for event in events(log) if "listen" in str(event)] == ["listen_failed"] * 5 + ["listening"]
+
+
+def test_a_socket_that_cannot_be_had_for_long_ends_the_program(tmp_path):
+    def listen(reactor, host, port, factory):
+        raise CannotListenError(host, port, OSError(errno.ENFILE, "for long"))
+
+    made, _, _, _ = service(tmp_path, hears_list=False)
+    reactor = Reactor()
+    short_of_sockets = Service(made.config, reactor, Log(), listen)
+    short_of_sockets.start()
+    connected(reactor)[0].dataReceived(HEAD + chunk(LINE))
+    reactor.pump([0.05] * 100)
+    assert reactor.stops == 1 and "for long" in short_of_sockets.failure
+
+
 def test_an_address_that_is_taken_when_the_first_list_arrives_ends_the_program(tmp_path):
     def listen(reactor, host, port, factory):
         raise CannotListenError(host, port, OSError(98, "Address already in use"))
--- a/yardbank/platform/listening.py
+++ b/yardbank/platform/listening.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import errno
 import select
 import socket
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.tcp import Port, Server
 
 BACKLOG = 1024
+SHORTAGES = frozenset((errno.ENFILE, errno.EMFILE, errno.ENOBUFS, errno.ENOMEM))
+RETRY_DELAY_S = 0.05
+MAX_RETRY_S = 2.0
 
 
 class ClientTransport(Server):
@@ -75,6 +80,11 @@
         super().connectionLost(reason)
 
 
+def may_pass(problem: CannotListenError) -> bool:
+    """Whether the system was only short of sockets, not the address unusable."""
+    return getattr(problem.socketError, "errno", None) in SHORTAGES
+
+
 def listen(reactor: Any, host: str, port: int, factory: Any) -> Any:
     """Listens for clients. Raises ``CannotListenError``."""
     made = ClientPort(port, factory, host, reactor)
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -112,10 +112,20 @@
     def _begin_serving(self, is_list_heard: bool) -> None:
         if not is_list_heard:
             self.log.warning("discovery_unheard", version=self.gateway.list_version, note="serving by the known list")
+        self._open_port(self._reactor.seconds() + listening.MAX_RETRY_S)
+
+    def _open_port(self, give_up_at: float) -> None:
+        """Listens for clients; tries again until ``give_up_at`` (s) if the system has no socket left."""
         listen = self.config.listen
+        if self._stop_requested:
+            return
         try:
             self._port = self._listen(self._reactor, listen.host, listen.port, self.factory)
         except CannotListenError as problem:
+            if listening.may_pass(problem) and self._reactor.seconds() < give_up_at:
+                self.log.warning("listen_failed", problem=str(problem))
+                self._reactor.callLater(listening.RETRY_DELAY_S, self._open_port, give_up_at)
+                return
             self.failure = f"NODE_LISTEN: {problem}"
             self.stop()
             return
