--- a/tests/platform/test_broken_settings.py
+++ b/tests/platform/test_broken_settings.py
@@ -11,18 +11,8 @@
 import orjson
 import pytest
 
-from tests.support.platform import (
-    CONFIG,
-    ENTRY,
-    START,
-    Log,
-    Reactor,
-    accept_watch,
-    listening,
-    query,
-    read_until_listening,
-    start_program,
-)
+from tests.support.platform import CONFIG, ENTRY, START, Log, Reactor, listening, query
+from tests.support.platform_process import accept_watch, read_until_listening, start_program
 from yardbank.gateway.api import SECOND
 from yardbank.platform.client import EMPTY_QUERY_ANSWER
 from yardbank.platform.config import PlatformError, read_config
--- a/tests/platform/test_connection_end.py
+++ b/tests/platform/test_connection_end.py
@@ -9,7 +9,8 @@
 from twisted.internet.testing import StringTransport
 
 from tests.platform.test_server_connections import Pair
-from tests.support.platform import KINDS, READ, READY, START, WRITE, World, query, serving
+from tests.support.platform import KINDS, READ, READY, START, WRITE, World, query
+from tests.support.platform_process import serving
 from yardbank.gateway import Reply
 from yardbank.platform.admission import State
 from yardbank.platform.backend import Operation
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -9,7 +9,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.support.platform import AUTHENTICATED, ENTRY, ENV, READ, READY, START, WRITE, World, query, serving
+from tests.support.platform import AUTHENTICATED, ENTRY, ENV, READ, READY, START, WRITE, World, query
+from tests.support.platform_process import serving
 from yardbank.gateway import Reply
 from yardbank.gateway.api import MS, SECOND
 from yardbank.platform.memory_budget import MemoryBudget
--- a/tests/platform/test_program.py
+++ b/tests/platform/test_program.py
@@ -25,13 +25,12 @@
     WRITE,
     chunk,
     connected,
-    discovery_listener,
     parameter,
     query,
     row,
     service,
-    start_program,
 )
+from tests.support.platform_process import discovery_listener, start_program
 from yardbank.gateway.api import SECOND
 from yardbank.platform.client import EMPTY_QUERY_ANSWER
 from yardbank.platform.config import (
--- a/tests/platform/test_race_descriptors.py
+++ b/tests/platform/test_race_descriptors.py
@@ -12,6 +12,7 @@
 
 from tests.support.client_sockets import readable
 from tests.support.platform import AUTHENTICATED, CONFIG, ENTRY, ENV, HEAD, READ, READY, START, chunk, query, row
+from tests.support.platform_process import read_until_listening
 from yardbank.gateway.api import MS
 from yardbank.testing.ports import free_port
 
@@ -49,12 +50,7 @@
         env={**os.environ, "NODE_CONFIG": str(tmp_path / "config.json")},
         stderr=subprocess.PIPE,
     )
-    lines = []
-    for line in process.stderr:
-        lines.append(line)
-        if b'"listening"' in line:
-            break
-    return process, port, lines
+    return process, port, read_until_listening(process)
 
 
 def receive_answer(far):
--- a/tests/platform/test_race_program.py
+++ b/tests/platform/test_race_program.py
@@ -12,20 +12,8 @@
 import orjson
 import pytest
 
-from tests.support.platform import (
-    AUTHENTICATED,
-    ENTRY,
-    ENV,
-    READ,
-    READY,
-    START,
-    accept_watch,
-    chunk,
-    query,
-    read_until_listening,
-    row,
-    start_program,
-)
+from tests.support.platform import AUTHENTICATED, ENTRY, ENV, READ, READY, START, chunk, query, row
+from tests.support.platform_process import accept_watch, read_until_listening, start_program
 from yardbank.platform.client import EMPTY_QUERY_ANSWER
 
 TCP_FIN_WAIT1 = 4  # Linux: a FIN was sent that the peer has not acknowledged
--- a/tests/platform/test_race_signals.py
+++ b/tests/platform/test_race_signals.py
@@ -10,7 +10,8 @@
 import orjson
 import pytest
 
-from tests.support.platform import CONFIG, READ, READY, START, query, service, serving
+from tests.support.platform import CONFIG, READ, READY, START, query, service
+from tests.support.platform_process import serving
 from yardbank.testing.ports import free_port
 
 
--- a/tests/testing/soak/test_discovery.py
+++ b/tests/testing/soak/test_discovery.py
@@ -13,7 +13,7 @@
 
 
 class Agent:
-    """The soak's discovery and what it told."""
+    """The soak's discovery and from when drains count as known."""
 
     def __init__(self):
         self.drains = []
@@ -27,8 +27,8 @@
             await reader.readuntil(b"]}\n\r\n")
         return writer
 
-    def told_at(self):
-        return [drain.told_at for drain in self.drains]
+    def known_from(self):
+        return [drain.known_from for drain in self.drains]
 
 
 @contextlib.asynccontextmanager
@@ -57,10 +57,10 @@
         made.discovery.drain("s-1")
         after = time.monotonic()
         await made.watch()
-        return before, after, made.told_at()
+        return before, after, made.known_from()
 
-    before, after, told_at = play(scene)
-    assert before <= told_at[0] <= after <= told_at[1] and len(told_at) == 2
+    before, after, known_from = play(scene)
+    assert before <= known_from[0] <= after <= known_from[1] and len(known_from) == 2
 
 
 def test_a_drain_on_a_working_watch_is_known_when_it_is_written():
@@ -68,10 +68,10 @@
         await made.watch()
         before = time.monotonic()
         made.discovery.drain("s-1")
-        return before, time.monotonic(), made.told_at()
+        return before, time.monotonic(), made.known_from()
 
-    before, after, (told_at,) = play(scene)
-    assert before <= told_at <= after
+    before, after, (known_from,) = play(scene)
+    assert before <= known_from <= after
 
 
 @pytest.mark.parametrize("fault", [DiscoveryFault.SILENT, DiscoveryFault.DOWN])
@@ -83,10 +83,10 @@
         after = time.monotonic()
         made.discovery.drain("s-1")
         made.discovery.end(fault)
-        return before, after, made.told_at()
+        return before, after, made.known_from()
 
-    before, after, (told_at,) = play(scene)
-    assert before <= told_at - SILENT_WATCH_LIMIT_S <= after
+    before, after, (known_from,) = play(scene)
+    assert before <= known_from - SILENT_WATCH_LIMIT_S <= after
 
 
 def test_a_drain_during_an_outage_without_a_watch_is_known_at_its_end():
@@ -97,10 +97,10 @@
         assert not made.drains
         before = time.monotonic()
         made.discovery.end(DiscoveryFault.DOWN)
-        return before, time.monotonic(), made.told_at()
+        return before, time.monotonic(), made.known_from()
 
-    before, after, (told_at,) = play(scene)
-    assert before <= told_at <= after
+    before, after, (known_from,) = play(scene)
+    assert before <= known_from <= after
 
 
 def test_a_change_leaves_earlier_documents_as_they_were():
--- a/yardbank/testing/soak/discovery.py
+++ b/yardbank/testing/soak/discovery.py
@@ -21,19 +21,19 @@
 
 
 class Discovery:
-    """Serves the list; calls ``drain_told`` with the times from which the program counts as knowing of a drain.
+    """Serves the list; calls ``drain_known`` with the times from which the program counts as knowing of a drain.
 
     That is at the latest when the drain is written to a watch; at once, or at the end of an outage, if no watch is open
     that was answered; and ``SILENT_WATCH_LIMIT_S`` after an open watch that misses it fell silent.
     """
 
-    def __init__(self, instances: list[dict[str, Any]], drain_told: Callable[[ServerDrain], None]) -> None:
+    def __init__(self, instances: list[dict[str, Any]], drain_known: Callable[[ServerDrain], None]) -> None:
         self.generation = 41
         self.instances = instances
         self.is_down = False
         self.first_list_delay = 0.0  # seconds until a new watch is answered
         self.port = 0
-        self._drain_told = drain_told
+        self._drain_known = drain_known
         self._unwritten_drains: set[str] = set()
         self._listening: asyncio.Server | None = None
         self._watches: set[asyncio.StreamWriter] = set()  # those that were answered
@@ -53,14 +53,14 @@
         self._unwritten_drains.add(name)
         self.change(name, lifecycle="Terminating")
         if not self.is_down:
-            self._tell_unwritten()
+            self._report_unwritten()
 
-    def _tell_unwritten(self) -> None:
+    def _report_unwritten(self) -> None:
         """Drains that no watch has got count as known at once, or later if an open watch has fallen silent."""
         since = max(self._silent_since.values(), default=None)
-        told_at = time.monotonic() if since is None else since + SILENT_WATCH_LIMIT_S
+        known_from = time.monotonic() if since is None else since + SILENT_WATCH_LIMIT_S
         for name in self._unwritten_drains:
-            self._drain_told(ServerDrain(name, told_at))
+            self._drain_known(ServerDrain(name, known_from))
 
     def change(self, name: str, **fields: Any) -> None:
         """Changes fields of a server's entry and sends the list."""
@@ -86,7 +86,7 @@
         """Ends a fault; watches that it silenced stay silent."""
         if fault is DiscoveryFault.DOWN:
             self.is_down = False
-            self._tell_unwritten()
+            self._report_unwritten()
 
     def close(self) -> None:
         """Closes the service and all watches."""
@@ -119,5 +119,5 @@
     def _send_list(self, writer: asyncio.StreamWriter) -> None:
         writer.write(_chunk(json.dumps(self.document()).encode() + b"\n"))
         for name in self._unwritten_drains:
-            self._drain_told(ServerDrain(name, time.monotonic()))
+            self._drain_known(ServerDrain(name, time.monotonic()))
         self._unwritten_drains.clear()
--- a/yardbank/testing/soak/frames.py
+++ b/yardbank/testing/soak/frames.py
@@ -66,7 +66,7 @@
     """A time from which the program counts as knowing that a server drains; the earliest of a server holds."""
 
     server: str
-    told_at: float
+    known_from: float
 
 
 @dataclass(slots=True)
--- a/yardbank/testing/soak/judge.py
+++ b/yardbank/testing/soak/judge.py
@@ -101,18 +101,18 @@
 
 
 def _drains(play: Play) -> Iterator[Violation]:
-    told: dict[str, float] = {}
+    known_from: dict[str, float] = {}  # by server
     for drain in play.drains:
-        told[drain.server] = min(drain.told_at, told.get(drain.server, drain.told_at))
+        known_from[drain.server] = min(drain.known_from, known_from.get(drain.server, drain.known_from))
     for attempt in play.attempts:
-        late = attempt.first_octet_at - told.get(attempt.server, attempt.first_octet_at)
+        late = attempt.first_octet_at - known_from.get(attempt.server, attempt.first_octet_at)
         allowed = (
             DRAIN_GRACE_S
             + UNDETECTED_DELAY_S
             + _recorder_delay(play, attempt.first_octet_at - late, attempt.first_octet_at)
         )
         if late > allowed:
-            what = f"{attempt.id} went to {attempt.server} {late:.3f} s after its drain was told"
+            what = f"{attempt.id} went to {attempt.server} {late:.3f} s after its drain was known"
             yield Violation("drains kept", what)
 
 
