Test of the soak's judge: of two times from which a drain is known the earlier holds

Cause: the rule came with the drains before a start and had no test on handmade frames. Change: the drained server has a second, later time. Result: test_judge.py passes.

--- a/tests/testing/soak/test_judge.py
+++ b/tests/testing/soak/test_judge.py
@@ -79,9 +79,9 @@
 
 
 def test_an_attempt_to_a_drained_server_is_found():
-    for told_at, found in ((1.6, []), (1.3, ["drains kept", "drains kept"])):
+    for known_from, found in ((1.6, []), (1.3, ["drains kept", "drains kept"])):
         play = good_play()
-        play.drains.append(ServerDrain("s-1", told_at))
+        play.drains += [ServerDrain("s-1", known_from), ServerDrain("s-1", 5.0)]  # the earlier one holds
         assert rules(play) == found
 
 
