--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import tempfile
+import time
 import traceback
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -14,6 +15,7 @@
 from review.standins.record import Record
 
 MAX_SECONDS = 110.0
+CLOCK_CHECK_S = 0.01
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 Play = Callable[[Record, Path, bool], Awaitable[list[str]]]
 
@@ -22,6 +24,22 @@
     """The case could not be run as it is meant to be; the text says why."""
 
 
+class OwnDelay:
+    """The longest time for which this process itself was held up; its times may be late by as much."""
+
+    def __init__(self) -> None:
+        self.longest = 0.0
+
+    async def watch(self) -> None:
+        """Looks at the clock again and again."""
+        before = time.monotonic()
+        while True:
+            await asyncio.sleep(CLOCK_CHECK_S)
+            now = time.monotonic()
+            self.longest = max(self.longest, now - before - CLOCK_CHECK_S)
+            before = now
+
+
 def run(case: Path, play: Play) -> None:
     """Plays a case; ``play`` gets the record, a temporary folder and whether there is trouble, and returns breaks."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
