--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -77,6 +77,7 @@
         self.read_value: Callable[[Attempt], bytes] | None = None  # in place of the log's value
         self.hung = asyncio.Event()
         self.hung.set()  # set: it is not hung
+        self.is_draining = False  # turns new requests away
         self.report = ""
         self.connections: set[_Connection] = set()
         self._listening: asyncio.Server | None = None
@@ -177,47 +178,56 @@
     async def _query(self, text: str, first_octet_at: float) -> None:
         server = self._server
         await server.hung.wait()
-        if text in ("SHOW gauges", "SELECT 1"):
-            value = server.report if text == "SHOW gauges" else "1"
-            self._write(pgwire.result(value.encode(), text.split()[0].encode() + b" 1"[: 2 * (text != "SHOW gauges")]))
-            self._write(pgwire.READY)
+        if text == "SHOW gauges":
+            self._write(pgwire.result(server.report.encode(), b"SHOW") + pgwire.READY)
             return
         comment = _COMMENT.match(text)
         body = text[comment.end() :] if comment else ""
         reading, writing = _READ.match(body), _WRITE.match(body)
-        if comment is None or not (reading or writing):
+        found = reading or writing
+        if comment is None or found is None:
             server.record.note(server.name, f"cannot read {text[:120]}")
             self._write(pgwire.error("08P01") + pgwire.READY)
             return
         fields = dict(pair.split("=", 1) for pair in comment[1].split(","))
-        found = reading or writing
-        assert found is not None
-        attempt = Attempt(
-            fields["id"], server.name, first_octet_at, time.monotonic(), writing is not None, found[1], int(fields["d"])
-        )
+        write, limit = writing is not None, int(fields["d"])
+        attempt = Attempt(fields["id"], server.name, first_octet_at, time.monotonic(), write, found[1], limit)
         server.attempts.append(attempt)
-        server.record.note(server.name, f"got {attempt.id} {'write' if writing else 'read'} {attempt.key} d={fields['d']}")
-        refusal = ""
-        if writing is not None and not server.is_primary:
-            refusal = "25006"
-        elif reading is not None and server.checks_reads is not None and not server.is_primary:
-            if server.position() < server.checks_reads(fields):
-                refusal = "72000"
-        if refusal:
+        kind = "write" if write else "read"
+        server.record.note(server.name, f"got {attempt.id} {kind} {attempt.key} d={limit}")
+        if refusal := self._refusal(write, fields):
             self._answer(attempt, pgwire.error(refusal), refusal, 0)
             return
         await asyncio.sleep(server.work_s)
         await server.hung.wait()
-        if writing is not None:
-            if not server.is_primary:  # it lost its role while it held the write
-                self._answer(attempt, pgwire.error("XX000"), "XX000", 0)
-                return
-            value = bytes.fromhex(writing[2])
-            position = server.group.commit(attempt.key, value)
-            attempt.ran_at = time.monotonic()
-            server.record.note(server.name, f"ran {attempt.id} write {attempt.key} at {position}")
-            self._answer(attempt, pgwire.result(value, b"INSERT 0 1"), "ok", position)
+        if write:
+            self._run_write(attempt, bytes.fromhex(found[2]))
+        else:
+            self._run_read(attempt)
+
+    def _refusal(self, write: bool, fields: dict[str, str]) -> str:
+        """The code of a statement that is turned away untouched, or nothing."""
+        server = self._server
+        if server.is_draining:
+            return "53300"
+        if write:
+            return "" if server.is_primary else "25006"
+        if server.checks_reads is not None and not server.is_primary:
+            return "72000" if server.position() < server.checks_reads(fields) else ""
+        return ""
+
+    def _run_write(self, attempt: Attempt, value: bytes) -> None:
+        server = self._server
+        if not server.is_primary:  # it lost its role while it held the write
+            self._answer(attempt, pgwire.error("XX000"), "XX000", 0)
             return
+        position = server.group.commit(attempt.key, value)
+        attempt.ran_at = time.monotonic()
+        server.record.note(server.name, f"ran {attempt.id} write {attempt.key} at {position}")
+        self._answer(attempt, pgwire.result(value, b"INSERT 0 1"), "ok", position)
+
+    def _run_read(self, attempt: Attempt) -> None:
+        server = self._server
         attempt.ran_at = time.monotonic()
         attempt.data_position = server.position()
         attempt.value = server.group.value(attempt.key, attempt.data_position)
--- a/review/standins/discovery.py
+++ b/review/standins/discovery.py
@@ -25,6 +25,7 @@
         self.instances = {one["instanceId"]: one for one in instances}
         self.is_down = False
         self.port = 0
+        self.answer_delay_s = 0.0  # from a call until its answer
         self._record = record
         self._listening: asyncio.Server | None = None
         self._watches: set[asyncio.StreamWriter] = set()
@@ -82,6 +83,7 @@
                 await reader.read()
                 return
             self._record.note("discovery", f"asked {head.split(b' ')[1].decode()}")
+            await asyncio.sleep(self.answer_delay_s)
             whole = json.dumps(self.document()).encode() + b"\n"
             if b"stream=1" not in head:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(whole) + whole)
@@ -89,7 +91,7 @@
             writer.write(HEAD + _chunk(whole))
             self._record.note("discovery", f"wrote the whole list {self.generation}")
             self._watches.add(writer)
-            while True:
+            while not writer.is_closing():
                 await asyncio.sleep(BLANK_INTERVAL_S)
                 if writer in self._watches and not self.is_down:
                     writer.write(_chunk(b"\n"))
@@ -100,9 +102,13 @@
             with contextlib.suppress(OSError):
                 writer.close()
 
-    def close(self) -> None:
-        """Ends it."""
+    def stop_listening(self) -> None:
+        """Accepts no new connection; open ones stay."""
         if self._listening is not None:
             self._listening.close()
+
+    def close(self) -> None:
+        """Ends it."""
+        self.stop_listening()
         for writer in list(self._watches):
             writer.transport.abort()
