Review case 1: the second copy of an answer is served to the caller of the next request

Cause looked for: whether a connection that is reused can carry one client's answer to another client.

--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -74,6 +74,9 @@
         self.checks_reads: Callable[[dict[str, str]], int] | None = None  # the position (ms) that a read must see
         self.in_answers = False  # whether answers carry the load report
         self.spoil: Callable[[Attempt, bytes], bytes] | None = None
+        # An answer is written twice at once, and comes in two pieces; seconds between the two, or None for one answer.
+        self.copy_behind: Callable[[], float | None] | None = None
+        self.copies = 0
         self.read_value: Callable[[Attempt], bytes] | None = None  # in place of the log's value
         self.hung = asyncio.Event()
         self.hung.set()  # set: it is not hung
@@ -250,6 +253,14 @@
         alive = "" if self._transport is not None else " (connection gone)"
         server.record.note(server.name, f"answers {attempt.id} {what} part={part} {attempt.value[:30]!r}{alive}")
         self._write(octets)
+        if what == "ok" and server.copy_behind is not None and (pause := server.copy_behind()) is not None:
+            asyncio.get_running_loop().call_later(pause, self._second_copy, attempt, octets)
+
+    def _second_copy(self, attempt: Attempt, octets: bytes) -> None:
+        """The piece of the stream that holds a second copy arrives."""
+        self._server.copies += 1
+        self._server.record.note(self._server.name, f"the second copy of {attempt.id} arrives")
+        self._write(octets)
 
 
 async def refresh_reports(servers: list[Server]) -> None:
