--- a/review/standins/database.py
+++ b/review/standins/database.py
@@ -74,8 +74,8 @@
         self.checks_reads: Callable[[dict[str, str]], int] | None = None  # the position (ms) that a read must see
         self.in_answers = False  # whether answers carry the load report
         self.spoil: Callable[[Attempt, bytes], bytes] | None = None
-        # An answer is written twice at once, and comes in two pieces; seconds between the two, or None for one answer.
-        self.copy_behind: Callable[[], float | None] | None = None
+        self.link_s = 0.0  # one way between the gateway and this server
+        self.copy_behind: Callable[[], float | None] | None = None  # seconds from an answer to its second copy
         self.copies = 0
         self.read_value: Callable[[Attempt], bytes] | None = None  # in place of the log's value
         self.hung = asyncio.Event()
@@ -137,6 +137,7 @@
         self._server = server
         self._messages = pgwire.Splitter(first_is_startup=True)
         self._first_octet_at = 0.0
+        self._received = 0  # pieces of data that have arrived
         self._transport: asyncio.Transport | None = None
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -155,6 +156,13 @@
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        if self._server.link_s:
+            asyncio.get_running_loop().call_later(self._server.link_s, self._arrived, data)
+        else:
+            self._arrived(data)
+
+    def _arrived(self, data: bytes) -> None:
+        self._received += 1
         if not self._messages.waiting:
             self._first_octet_at = time.monotonic()
         for kind, body in self._messages.feed(data):
@@ -171,6 +179,12 @@
         task.add_done_callback(self._tasks.discard)
 
     def _write(self, octets: bytes) -> None:
+        if self._server.link_s:
+            asyncio.get_running_loop().call_later(self._server.link_s, self._deliver, octets)
+        else:
+            self._deliver(octets)
+
+    def _deliver(self, octets: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(octets)
 
@@ -254,12 +268,16 @@
         server.record.note(server.name, f"answers {attempt.id} {what} part={part} {attempt.value[:30]!r}{alive}")
         self._write(octets)
         if what == "ok" and server.copy_behind is not None and (pause := server.copy_behind()) is not None:
-            asyncio.get_running_loop().call_later(pause, self._second_copy, attempt, octets)
+            asyncio.get_running_loop().call_later(pause, self._second_copy, attempt, octets, self._received)
 
-    def _second_copy(self, attempt: Attempt, octets: bytes) -> None:
-        """The piece of the stream that holds a second copy arrives."""
-        self._server.copies += 1
-        self._server.record.note(self._server.name, f"the second copy of {attempt.id} arrives")
+    def _second_copy(self, attempt: Attempt, octets: bytes, received: int) -> None:
+        """Writes an answer again, directly behind it, if nothing else waits on the connection."""
+        server = self._server
+        if self._transport is None or self._received != received:
+            server.record.note(server.name, f"no second copy of {attempt.id}: something else waits")
+            return
+        server.copies += 1
+        server.record.note(server.name, f"answers {attempt.id} a second time")
         self._write(octets)
 
 
