Log the memory that clients occupy, its limit and how many connections wait

Cause: client_memory_bound named the limit only. Three explanations of a gateway over its memory limit could not be told apart: commands beyond the budget, transport buffers outside of it, or memory that the allocator keeps.

Change: client_memory_bound and view (client_memory) carry used, limit and waiting.

--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -119,7 +119,9 @@
     other, second = world.connect()
     large = query(WRITE.replace("9f03", "9f" * 1000).replace("7f3a", "another"))
     other.dataReceived(large[:100])
-    assert second.producerState == "paused" and ("client_memory_bound", {"limit": 12_000}) in world.log.lines
+    assert second.producerState == "paused"
+    figures = {"used": world.factory._memory.used, "limit": 12_000, "waiting": 1}
+    assert ("client_memory_bound", figures) in world.log.lines and world.factory.memory_view() == figures
     for at in range(8):  # an answer may release the next request
         world.backend.out[at][1].attempt_done(Reply("ok", b"x"))
     assert second.producerState == "producing" and transport.value().count(READY) == 8
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -120,11 +120,15 @@
         used = self._memory.used
         fits = self._memory.reserve(number, occupied, wanted)
         if not fits:
-            self._warn("client_memory_bound", limit=self._memory.limit)
+            self._warn("client_memory_bound", **self.memory_view())
         if self._memory.used < used:
             self._resume_waiting()
         return fits
 
+    def memory_view(self) -> dict[str, int]:
+        """Returns figures for the log: octets that clients occupy and may occupy, connections that wait for some."""
+        return {"used": self._memory.used, "limit": self._memory.limit, "waiting": self._memory.waiting_count}
+
     def _resume_waiting(self) -> None:
         """Resumes connections that wait for memory."""
         if self._is_resuming:
--- a/yardbank/platform/memory_budget.py
+++ b/yardbank/platform/memory_budget.py
@@ -40,6 +40,11 @@
         """Whether nothing more fits."""
         return self.used >= self.limit
 
+    @property
+    def waiting_count(self) -> int:
+        """Number of connections that wait for memory."""
+        return len(self._waiting)
+
     def reserve(self, number: int, occupied: int, wanted: int) -> bool:
         """Reserves ``wanted`` octets for a connection that occupies ``occupied`` of them so far.
 
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -147,7 +147,12 @@
         """Logs the gateway's own figures, for comparison with the traffic on its sockets."""
         clients = {state.name.lower(): count for state in State if (count := self.admission.count(state))}
         self.log.info(
-            "view", **self.gateway.view(), discovery=self.watcher.view(), clients=clients, **self.factory.counts
+            "view",
+            **self.gateway.view(),
+            discovery=self.watcher.view(),
+            clients=clients,
+            client_memory=self.factory.memory_view(),
+            **self.factory.counts,
         )
         self.gateway.call_at(self.gateway.now() + VIEW_INTERVAL, self._log_view)
 
