Reserve memory for a command of a client before it is queued

What callers saw: 340 clients that send 900 short commands each at once took a gateway over its 64 MB within 2 s; the platform kills it there, with the requests of all other clients.

Cause: ClientConnection.dataReceived parsed and queued all commands of a piece of 16 KiB before MemoryBudget.reserve was asked. A reservation that failed stopped the next read only; what was queued stayed, above the limit, and each further connection added its own first piece. A short command takes 6 times its octets in memory.

The rest of a message whose size is known is read in larger pieces.

Why it works: what does not fit stays in the client's socket and costs the gateway nothing.

--- a/benchmarks/scale/decisions.py
+++ b/benchmarks/scale/decisions.py
@@ -156,7 +156,7 @@
 class IdleTransport:
     """A transport that discards everything, with minimal memory."""
 
-    __slots__ = ("bufferSize",)
+    __slots__ = ("bufferSize", "read_size")
 
     def __getattr__(self, name: str) -> Any:
         return lambda *args: None
--- a/tests/platform/test_sessions.py
+++ b/tests/platform/test_sessions.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from tests.support.platform import AUTHENTICATED, DESCRIPTION, KINDS, READ, READY, START, parameter, query, row
+from tests.support.platform import AUTHENTICATED, DESCRIPTION, KINDS, READ, READY, START, parameter, query, receive, row
 from yardbank.gateway.api import MS, SECOND, ProbeResult
 from yardbank.gateway.positions import ClockPositions
 from yardbank.interface import Report, Role
@@ -20,7 +20,7 @@
 def test_a_query_may_follow_the_startup_at_once_and_queries_are_answered_in_order():
     session = ClientSession(KINDS, set())
     assert session.state() is State.NEW
-    received = session.receive(START + query("") + query(READ), 7 * MS)
+    received = receive(session, START + query("") + query(READ), 7 * MS)
     assert received.output.startswith(b"R") and received.output.endswith(b"Z\0\0\0\5I") and not received.expedited
     assert session.state() is State.BUSY and session.pipeline.take_answers() == EMPTY_QUERY_ANSWER
     command = session.pipeline.next(True)
@@ -28,7 +28,7 @@
     assert session.pipeline.next(True) is None and session.state() is State.BUSY
     session.answered(command, b"x")
     assert session.pipeline.take_answers() == b"x" and session.state() is State.IDLE
-    session.receive(query(READ)[:9], 0)
+    receive(session, query(READ)[:9], 0)
     assert session.state() is State.PARTIAL
 
 
@@ -49,7 +49,7 @@
 )
 def test_invalid_input_after_a_valid_query_is_answered_in_order(noise):
     session = ClientSession(KINDS, set())
-    session.receive(START + query(READ) + noise, 0)
+    receive(session, START + query(READ) + noise, 0)
     command = session.pipeline.next(True)
     assert session.pipeline.next(True) is None and session.pipeline.closing_command() is None
     session.answered(command, b"x")
@@ -61,11 +61,11 @@
 def test_nothing_is_taken_after_a_terminate_message():
     held = set()
     session = ClientSession(KINDS, held)
-    session.receive(START + query(READ) + pg.encode_client(pg.TERMINATE).encode(), 0)
+    receive(session, START + query(READ) + pg.encode_client(pg.TERMINATE).encode(), 0)
     assert session.client_left and held == {"a1"}
     (command,) = session.leave()
     assert command.operation.statement.id == "a1" and not held
-    assert session.pipeline.next(True) is None and session.receive(query(READ), 0).output == b"" and not held
+    assert session.pipeline.next(True) is None and receive(session, query(READ), 0).output == b"" and not held
 
 
 def open_session():
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -13,6 +13,7 @@
 from yardbank.pg import messages as pg
 from yardbank.pg.wire import VERSION_3_0, Frame, int16, int32, text, value
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors
+from yardbank.platform.client import Received
 from yardbank.platform.config import (
     load_config,
 )
@@ -101,6 +102,16 @@
     return pg.encode_client(pg.Query(statement)).encode()
 
 
+def receive(session, octets, now):
+    """Passes octets to a client session that has memory for all of them; returns the output and expedited commands."""
+    session.receive(octets, now)
+    output, expedited = b"", []
+    while (received := session.process_message(now)) is not None:
+        output += received.output
+        expedited += received.expedited
+    return Received(output, expedited)
+
+
 AUTHENTICATED = Frame(ord("R"), int32(0)).encode() + Frame(ord("Z"), b"I").encode()
 READY = Frame(ord("Z"), b"I").encode()
 DESCRIPTION = Frame(ord("T"), int16(1) + text("content") + bytes(18))
--- a/yardbank/pg/state.py
+++ b/yardbank/pg/state.py
@@ -110,9 +110,14 @@
 
     @property
     def announced(self) -> int:
-        """Total size of the incomplete message, as far as known."""
+        """Total size of the first buffered message, as far as known."""
         return self._framer.announced
 
+    @property
+    def has_message(self) -> bool:
+        """Whether the first buffered message was received completely."""
+        return self._framer.has_frame
+
     def take_output(self) -> bytes:
         """Returns and clears the bytes to be written."""
         output, self._out = bytes(self._out), bytearray()
@@ -120,14 +125,27 @@
 
     def receive(self, data: bytes) -> list[ServerEvent]:
         """Processes received bytes, however they are split; input after the end of the connection is ignored."""
+        self.add(data)
         events: list[ServerEvent] = []
+        while (found := self.process_message()) is not None:
+            events += found
+        return events
+
+    def add(self, data: bytes) -> None:
+        """Buffers received bytes for ``process_message``; input after the end of the connection is ignored."""
+        if not self.over:
+            self._framer.add(data)
+
+    def process_message(self) -> list[ServerEvent] | None:
+        """Processes the first buffered message and returns its events; None if no message is complete."""
         if self.over:
-            return events
+            return None
+        events: list[ServerEvent] = []
         try:
-            for frame in self._framer.feed(data):
-                self._handle_frame(frame, events)
-                if self.over:
-                    break
+            frame = self._framer.take()
+            if frame is None:
+                return None
+            self._handle_frame(frame, events)
         except WireError as problem:
             self._fail(events, "08P01", str(problem))
         except ScramError as problem:
--- a/yardbank/pg/wire.py
+++ b/yardbank/pg/wire.py
@@ -49,41 +49,58 @@
 
     @property
     def announced(self) -> int:
-        """Total size of the incomplete frame, or the octets received so far if its length is not complete."""
-        head = 0 if self._startup else 1
-        if len(self._buffer) < head + 4:
+        """Total size of the first buffered frame, or the octets received so far if its length is not complete."""
+        if not self._has_head:
             return len(self._buffer)
+        head = self._type_size
         return head + int.from_bytes(self._buffer[head : head + 4], "big")
 
+    @property
+    def has_frame(self) -> bool:
+        """Whether all octets of the first frame are buffered; its length and type may be invalid."""
+        return self._has_head and len(self._buffer) >= self.announced
+
+    @property
+    def _type_size(self) -> int:
+        return 0 if self._startup else 1
+
+    @property
+    def _has_head(self) -> bool:
+        return len(self._buffer) >= self._type_size + 4
+
     def started(self) -> None:
         """The StartupMessage was received: all later messages have a type octet."""
         self._startup = False
 
+    def add(self, data: bytes) -> None:
+        """Adds received octets."""
+        self._buffer += data
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Adds received octets and yields the complete frames. Raises ``WireError`` at an invalid length or type."""
-        self._buffer += data
-        at = 0
-        try:
-            while True:
-                head = 0 if self._startup else 1
-                if len(self._buffer) - at < head + 4:
-                    return
-                size = int.from_bytes(self._buffer[at + head : at + head + 4], "big", signed=True)
-                most = MAX_STARTUP if self._startup else self._max_body
-                if not 4 <= size <= most + 4:
-                    raise WireError(f"message length {size}: between 4 and {most + 4} is allowed")
-                kind = self._buffer[at] if head else 0
-                # Checked before the body has arrived, since random bytes may announce any length.
-                if head and not (0x31 <= kind <= 0x7A):
-                    raise WireError(f"message type 0x{kind:02x}")
-                end = at + head + size
-                if len(self._buffer) < end:
-                    return
-                frame = Frame(kind, bytes(self._buffer[at + head + 4 : end]))
-                at = end
-                yield frame
-        finally:
-            del self._buffer[:at]
+        self.add(data)
+        while (frame := self.take()) is not None:
+            yield frame
+
+    def take(self) -> Frame | None:
+        """Removes and returns the first frame if it is complete. Raises ``WireError`` at an invalid length or type."""
+        if not self._has_head:
+            return None
+        head = self._type_size
+        size = int.from_bytes(self._buffer[head : head + 4], "big", signed=True)
+        most = MAX_STARTUP if self._startup else self._max_body
+        if not 4 <= size <= most + 4:
+            raise WireError(f"message length {size}: between 4 and {most + 4} is allowed")
+        kind = self._buffer[0] if head else 0
+        # Checked before the body has arrived, since random bytes may announce any length.
+        if head and not (0x31 <= kind <= 0x7A):
+            raise WireError(f"message type 0x{kind:02x}")
+        end = head + size
+        if len(self._buffer) < end:
+            return None
+        frame = Frame(kind, bytes(self._buffer[head + 4 : end]))
+        del self._buffer[:end]
+        return frame
 
 
 class Reader:
--- a/yardbank/platform/client.py
+++ b/yardbank/platform/client.py
@@ -28,13 +28,15 @@
 # Commands of one connection whose answers are not written yet; reading pauses at either limit.
 MAX_QUEUED, MAX_QUEUED_OCTETS = 256, 256 << 10
 RESUME_QUEUED, RESUME_QUEUED_OCTETS = MAX_QUEUED // 2, MAX_QUEUED_OCTETS // 2  # reading resumes below both
+READ_SIZE = 4 << 10  # octets read at a time, other than the rest of a message whose size is known
+MAX_READ_SIZE = 64 << 10
 QUERY_COPIES = 2  # copies kept of a query's octets: as read, and as sent to the server
 COMMAND_OCTETS = 1024  # octets of memory that a command uses besides its text
 
 
 @dataclass(slots=True, frozen=True)
 class Received:
-    """Result of reading octets from a client."""
+    """Result of processing one message of a client."""
 
     output: bytes  # to be written at once
     expedited: list[Command]  # commands whose deadline was moved forward because of commands behind them
@@ -47,12 +49,13 @@
     connections; a statement that reuses one is rejected.
     """
 
-    __slots__ = ("_end", "_open_ids", "_rejected_input", "_request_classes", "client_left", "pipeline")
+    __slots__ = ("_arrived", "_end", "_open_ids", "_rejected_input", "_request_classes", "client_left", "pipeline")
 
     def __init__(self, request_classes: Mapping[str, RequestClass], open_ids: set[str]) -> None:
         self._end = ServerEnd(MAX_MESSAGE_OCTETS, trusted=SERVER_PARAMETERS, simple=True)
         self._request_classes = request_classes
         self._open_ids = open_ids
+        self._arrived = 0  # when the buffered octets arrived (ns)
         self._rejected_input = False  # some input was rejected: nothing after it is served
         self.pipeline = Pipeline()
         self.client_left = False  # the client has disconnected or sent Terminate: it gets no more answers
@@ -74,17 +77,49 @@
 
     @property
     def wanted_octets(self) -> int:
-        """The same, counted as if the next message had been read completely."""
-        return self._command_octets() + QUERY_COPIES * self._end.announced
+        """The same, counted as if the first buffered message had been received completely and queued."""
+        announced = self._end.announced
+        if not announced:
+            return self._command_octets()
+        behind = max(0, self._end.waiting - announced)
+        return self._command_octets() + COMMAND_OCTETS + QUERY_COPIES * announced + behind
+
+    @property
+    def wanted_octets_to_read(self) -> int:
+        """The same, but with what one read may add. An idle connection needs nothing beyond its guaranteed octets."""
+        occupied = self.occupied_octets
+        return max(self.wanted_octets, occupied + READ_SIZE) if occupied else 0
+
+    @property
+    def read_size(self) -> int:
+        """Octets to read at a time: what is missing of the message that is being received, within limits."""
+        return min(MAX_READ_SIZE, max(READ_SIZE, self._end.announced - self._end.waiting))
+
+    @property
+    def has_message(self) -> bool:
+        """Whether a message was received completely and is not processed yet."""
+        return self._end.has_message
 
     def _command_octets(self) -> int:
         pipeline = self.pipeline
         return COMMAND_OCTETS * len(pipeline) + QUERY_COPIES * pipeline.unanswered_octets + pipeline.held_octets
 
-    def receive(self, data: bytes, now: int) -> Received:
-        """Takes octets, split anywhere; the time limit of each command that they complete counts from ``now`` (ns)."""
+    def receive(self, data: bytes, arrived: int) -> None:
+        """Buffers octets, split anywhere; the time limits of the commands that they complete count from ``arrived``.
+
+        The caller processes all complete messages before it receives more, unless it lacks memory for them.
+        """
+        self._arrived = arrived
+        if not self.client_left:
+            self._end.add(data)
+
+    def process_message(self, now: int) -> Received | None:
+        """Processes the first buffered message; returns None if no message is complete."""
+        events = None if self.client_left else self._end.process_message()
+        if events is None:
+            return None
         expedited: list[Command] = []
-        for event in () if self.client_left else self._end.receive(data):
+        for event in events:
             if isinstance(event, Messages):
                 message = event.messages[0]
                 assert isinstance(message, pg.Query)
@@ -131,7 +166,7 @@
             self._reject(str(problem), encode_rejection(str(problem)))
             return []
         self._open_ids.add(statement.id)
-        expires = now + min(statement.request_class.deadline, statement.time_limit)
+        expires = self._arrived + min(statement.request_class.deadline, statement.time_limit)
         return self.pipeline.add(Operation(statement, expires), _encoded_size(text), now)
 
     def _reject(self, reason: str, last: bytes) -> None:
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -22,7 +22,7 @@
 if TYPE_CHECKING:
     from yardbank.platform.front import ClientFactory
 
-READ_SIZE = 16 << 10  # octets read from a client at a time
+MAX_UNSENT_OCTETS = 16 << 10  # octets of answers that the system has not taken; beyond, nothing more is dispatched
 STOPPING_REASON = "the gateway is stopping"
 
 
@@ -70,7 +70,8 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Registers the connection, which may be refused or take the place of another one."""
         self.transport.setTcpNoDelay(True)
-        self.transport.bufferSize = READ_SIZE
+        self.transport.bufferSize = MAX_UNSENT_OCTETS
+        self.transport.read_size = self._session.read_size
         self.transport.registerProducer(self, True)
         self.factory.client_connected(self)
 
@@ -81,14 +82,7 @@
             self._on_lingering()
             return
         self._closing.on_event(Event.DATA_RECEIVED)
-        received = self._session.receive(data, self.factory.gateway.now())
-        if received.output:
-            self.transport.write(received.output)
-        if self._session.client_left:
-            self._withdraw_requests()
-        for command in received.expedited:
-            if command.request is not None and command.operation is not None:
-                self.factory.gateway.shorten_deadline(command.request, command.operation.expires)
+        self._session.receive(data, self.factory.gateway.now())
         self._advance()
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
@@ -194,7 +188,8 @@
 
         A close that waits must notice incoming data, so a connection without unanswered requests is always read.
         """
-        fits = self.factory.reserve_memory(self.number, self._session.occupied_octets, self._session.wanted_octets)
+        fits = self._reserve_memory(self._session.wanted_octets_to_read)
+        self.transport.read_size = self._session.read_size
         if self._session.is_full and not self._reading_paused:
             self.factory.queue_limit_reached(len(self._session.pipeline))
         if self._session.is_full or not fits:
@@ -202,10 +197,13 @@
         elif self._session.may_resume:
             self._resume_reading()
 
+    def _reserve_memory(self, wanted: int) -> bool:
+        fits: bool = self.factory.reserve_memory(self.number, self._session.occupied_octets, wanted)
+        return fits
+
     def memory_freed(self) -> None:
-        """Reads on after waiting for memory."""
-        if self._closing.accepts_requests:
-            self._regulate_reading()
+        """Goes on after waiting for memory."""
+        self._advance()
 
     def _pause_reading(self) -> None:
         if not self._reading_paused:
@@ -213,7 +211,7 @@
             self.transport.pauseProducing()
 
     def _process_next(self) -> bool:
-        """Takes one step with the queued commands. Returns whether there was one."""
+        """Takes one step with the received and the queued commands. Returns whether there was one."""
         pipeline = self._session.pipeline
         if self._session.client_left:
             return False
@@ -224,11 +222,33 @@
         if (last := pipeline.closing_command()) is not None:
             self.reject(last.close_reason, last.answer)
             return False
+        if self._process_message():
+            return True
         if self._writing_paused or (command := pipeline.next(self.factory.may_open_more())) is None:
             return False
         self._dispatch(command)
         return True
 
+    def _process_message(self) -> bool:
+        """Processes the next message that was received, if there is memory for its command. Returns whether it did.
+
+        Memory is reserved for each command before it is queued: in memory it takes several times its octets.
+        """
+        session = self._session
+        if session.is_full or (session.has_message and not self._reserve_memory(session.wanted_octets)):
+            return False
+        received = session.process_message(self.factory.gateway.now())
+        if received is None:
+            return False
+        if received.output:
+            self.transport.write(received.output)
+        if session.client_left:
+            self._withdraw_requests()
+        for command in received.expedited:
+            if command.request is not None and command.operation is not None:
+                self.factory.gateway.shorten_deadline(command.request, command.operation.expires)
+        return True
+
     def _resume_reading(self) -> None:
         if self._reading_paused:
             self._reading_paused = False
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -93,6 +93,7 @@
             self.counts["turned_away"] += 1
             self._warn("client_connections_bound", bound=limit)
         self._connections[connection.number] = connection
+        self._memory.connected(connection.number)
         if self._cancel_sweep is None:
             self._schedule_sweep()
         if evicted == connection.number:
--- a/yardbank/platform/listening.py
+++ b/yardbank/platform/listening.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from twisted.internet.error import CannotListenError
+from twisted.internet.main import CONNECTION_LOST
 from twisted.internet.tcp import Port, Server
 
 BACKLOG = 1024
@@ -20,6 +21,17 @@
     """One accepted connection; calls its protocol's ``all_written`` whenever nothing is left unsent."""
 
     unsent = False
+    read_size = Server.bufferSize  # octets read at a time; ``bufferSize`` limits unsent octets too
+
+    def doRead(self) -> Any:  # noqa: N802
+        """Reads at most ``read_size`` octets."""
+        try:
+            data = self.socket.recv(self.read_size)
+        except BlockingIOError:
+            return None
+        except OSError:
+            return CONNECTION_LOST
+        return self._dataReceived(data)
 
     def startWriting(self) -> None:  # noqa: N802
         """Notes that data is unsent."""
