Count the time in which a command waits unread while reading is paused

What callers saw: writes ran at the primary up to 0.9 s after their clients had stopped waiting, with a time limit in their comment that was longer than what the client had left.

Cause: ClientSession counted a command's time limit from the read that completed it. While reading is paused octets wait in the socket; that wait was not counted.

Change: ClientConnection remembers when reading paused; what is read afterwards counts from then on, up to the first read that leaves nothing unread.

Why it works: an octet that was not read before the pause cannot have been answered for before it, so no limit is too long.

--- a/tests/platform/test_pipeline.py
+++ b/tests/platform/test_pipeline.py
@@ -7,6 +7,7 @@
 from tests.support.platform import KINDS, READ, READY, WRITE, World, query
 from yardbank.gateway import Reply
 from yardbank.gateway.api import MS, SECOND
+from yardbank.platform.client import MAX_QUEUED
 from yardbank.platform.pipeline import MAX_HELD_OCTETS, MAX_OPEN, ORDER_MARGIN, Pipeline, Stage
 from yardbank.platform.statement import Operation, read_statement
 
@@ -217,6 +218,28 @@
     assert held.statement.text(held.expires - world.gateway.now()).startswith("/* id=r,c=status,d=1500,")
 
 
+# Guards against a command that waited unread in the socket and is sent on as if all of its time were left.
+def test_a_time_limit_counts_from_the_pause_of_reading_for_octets_read_after_it():
+    world = World(replicas=4)
+    made, transport = world.connect()
+    paused_at = world.gateway.now()
+    made.dataReceived(b"".join(query(read(f"r{n}", f"k{n}", limit=1400)) for n in range(MAX_QUEUED)))
+    assert transport.producerState == "paused"
+    world.clock.advance(0.3)
+    for n in range(MAX_QUEUED - 2):
+        answer(world, f"r{n}")
+    assert transport.producerState == "producing"
+    waited, limit = query(read("waited", "k", limit=900)), 900 * MS
+    blank = query(" " * (transport.read_size - len(waited) - len(query(""))))
+    made.dataReceived(waited + blank)
+    made.dataReceived(query(read("waited-too", "k", limit=900)))  # the read before was full, so more was unread
+    world.clock.advance(0.1)
+    made.dataReceived(query(read("in-time", "k", limit=900)))
+    expires = {held.statement.id: held.expires for held, _ in world.backend.out}
+    assert expires["waited"] == expires["waited-too"] - ORDER_MARGIN == paused_at + limit - ORDER_MARGIN
+    assert expires["in-time"] == world.gateway.now() + limit
+
+
 @pytest.mark.parametrize("answered", [(), (5,), range(1, 9)], ids=["none", "one", "all but the first"])
 def test_a_last_command_with_the_shortest_time_limit_is_answered_or_refused_in_time(answered):
     world = World(replicas=4)
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -65,6 +65,7 @@
         self.number = number
         self._session = ClientSession(factory.request_classes, factory.open_ids)
         self._advancing = self._writing_paused = self._reading_paused = False
+        self._unread_since: int | None = None  # octets received next may have waited in the socket since then (ns)
         self._has_answered = False  # a client that was answered before sends a request again if the close overtakes it
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -82,9 +83,19 @@
             self._on_lingering()
             return
         self._closing.on_event(Event.DATA_RECEIVED)
-        self._session.receive(data, self.factory.gateway.now())
+        self._session.receive(data, self._arrival_time(len(data)))
         self._advance()
 
+    def _arrival_time(self, size: int) -> int:
+        """Returns the earliest time (ns) at which ``size`` octets just read may have arrived.
+
+        While reading was paused, octets waited in the socket, and their clients for an answer.
+        """
+        arrived = self._unread_since
+        if size < self.transport.read_size:  # nothing was left unread
+            self._unread_since = None
+        return self.factory.gateway.now() if arrived is None else arrived
+
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         """The client has disconnected: its open requests are withdrawn."""
         self._closing.on_event(Event.CONNECTION_LOST)
@@ -208,6 +219,8 @@
     def _pause_reading(self) -> None:
         if not self._reading_paused:
             self._reading_paused = True
+            if self._unread_since is None:
+                self._unread_since = self.factory.gateway.now()
             self.transport.pauseProducing()
 
     def _process_next(self) -> bool:
