End a pause of reading once nothing is left unread, however much a read brought

Cause: the pause ended with a read that brought less than it asked for. The last read of a large message asks for exactly what is missing, so it never brought less.

Change: the pause ends when a look at the socket, without taking anything, finds nothing unread.

Why it works: it asks for the condition itself in place of inferring it from sizes.

Measured: test_a_pause_of_reading_no_longer_counts_once_a_whole_large_message_was_read failed before and passes; the test of the pause itself now says by the socket whether more is unread.

--- a/tests/platform/test_pipeline.py
+++ b/tests/platform/test_pipeline.py
@@ -1,5 +1,7 @@
 """Commands of one connection that are processed in parallel: the state machine alone, and with a gateway."""
 
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -8,6 +10,7 @@
 from yardbank.gateway import Reply
 from yardbank.gateway.api import MS, SECOND
 from yardbank.platform.client import MAX_QUEUED
+from yardbank.platform.memory_budget import MemoryBudget
 from yardbank.platform.pipeline import MAX_HELD_OCTETS, MAX_OPEN, ORDER_MARGIN, Pipeline, Stage
 from yardbank.platform.statement import Operation, read_statement
 
@@ -229,10 +232,11 @@
     for n in range(MAX_QUEUED - 2):
         answer(world, f"r{n}")
     assert transport.producerState == "producing"
-    waited, limit = query(read("waited", "k", limit=900)), 900 * MS
-    blank = query(" " * (transport.read_size - len(waited) - len(query(""))))
-    made.dataReceived(waited + blank)
-    made.dataReceived(query(read("waited-too", "k", limit=900)))  # the read before was full, so more was unread
+    limit = 900 * MS
+    transport.socket = SimpleNamespace(recv=lambda *_: b"/", fileno=lambda: -1)  # more is unread
+    made.dataReceived(query(read("waited", "k", limit=900)))
+    transport.socket = None
+    made.dataReceived(query(read("waited-too", "k", limit=900)))
     world.clock.advance(0.1)
     made.dataReceived(query(read("in-time", "k", limit=900)))
     expires = {held.statement.id: held.expires for held, _ in world.backend.out}
@@ -240,6 +244,25 @@
     assert expires["in-time"] == world.gateway.now() + limit
 
 
+# Guards against a pause that counts for good, so that every later command of the connection is refused.
+def test_a_pause_of_reading_no_longer_counts_once_a_whole_large_message_was_read():
+    world = World(replicas=4, budget=MemoryBudget(80_000))
+    (made, transport), (other, _) = world.connect(), world.connect()
+    other.dataReceived(query(write("other").replace("9f03", "9f" * 15_000)))
+    large = query(write("large", "k", limit=900).replace("9f03", "9f" * 15_000))
+    made.dataReceived(large[:100])
+    assert transport.producerState == "paused"
+    answer(world, "other")
+    world.clock.advance(0.3)
+    assert transport.read_size == len(large) - 100  # the last read brings as much as was asked for
+    made.dataReceived(large[100:])
+    answer(world, "large")
+    world.clock.advance(1)
+    made.dataReceived(query(read("next", limit=480)))
+    held = next(held for held, _ in world.backend.out if held.statement.id == "next")
+    assert held.expires == world.gateway.now() + 480 * MS
+
+
 @pytest.mark.parametrize("answered", [(), (5,), range(1, 9)], ids=["none", "one", "all but the first"])
 def test_a_last_command_with_the_shortest_time_limit_is_answered_or_refused_in_time(answered):
     world = World(replicas=4)
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -154,7 +154,7 @@
 
 
 class World:
-    def __init__(self, connections=90, replicas=1):
+    def __init__(self, connections=90, replicas=1, budget=None):
         self.clock, self.backend, self.log = Clock(), Backend(), Log()
         self.clock.advance(1000)
         settings = Settings(
@@ -181,8 +181,8 @@
         copies = [ServerSpec(f"r{n}" if n else "r", "2", "a", "h", 2 + n) for n in range(replicas)]
         self.gateway.apply_list([ServerSpec("p", "2", "a", "h", 1, True), *copies])
         descriptors = Descriptors(connections, 0)
-        memory = MemoryBudget.of(64)
-        self.factory = ClientFactory(self.gateway, Admission(AdmissionLimits()), descriptors, KINDS, self.log, memory)
+        budget = budget or MemoryBudget.of(64)
+        self.factory = ClientFactory(self.gateway, Admission(AdmissionLimits()), descriptors, KINDS, self.log, budget)
 
     def connect(self, first=START):
         made, transport = self.factory.buildProtocol(None), StringTransport()
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -83,16 +83,16 @@
             self._on_lingering()
             return
         self._closing.on_event(Event.DATA_RECEIVED)
-        self._session.receive(data, self._arrival_time(len(data)))
+        self._session.receive(data, self._arrival_time())
         self._advance()
 
-    def _arrival_time(self, size: int) -> int:
-        """Returns the earliest time (ns) at which ``size`` octets just read may have arrived.
+    def _arrival_time(self) -> int:
+        """Returns the earliest time (ns) at which the octets just read may have arrived.
 
         While reading was paused, octets waited in the socket, and their clients for an answer.
         """
         arrived = self._unread_since
-        if size < self.transport.read_size:  # nothing was left unread
+        if arrived is not None and not self.unread():
             self._unread_since = None
         return self.factory.gateway.now() if arrived is None else arrived
 
