Bound the wait of a client's message for memory, and free what stalled ones hold

What callers saw: 39 to 42 of some 90 usual writes of 60,000 octets were answered 0.6 to 0.9 s after their time while 60 clients had announced 131,000 octets each and sent 6 of them.

Cause: memory is reserved for the whole of a message once its length is known. A client that stops kept its reservation until it was closed after 2 s, and a usual message that did not fit was not read for as long, whatever its request's time.

Evidence: client_memory_bound in the case: 10,521,051 octets used of 10,800,000 while 40 connections had sent 6 octets each, 25 waiting, 2.27 s at a time; without the bad clients the same writes take 0.1 s.

Change: ClientMemory checks every 0.05 s while a connection waits. Messages that have brought nothing for 0.1 s, with nothing unread, are discarded while another one waits; one that has waited for 0.25 s is discarded too. A discarded message is dropped as it comes and refused (53300) in the order of the commands. Clients that have left while they are not read are noticed by the same check. The reservation that a connection has is not denied to it when more connections come.

Why it works: 0.25 s, the check's 0.05 s and a stall of 0.15 s are within the half second after which an answer is lost, even for a request with no time left; a message that was never forwarded may always be refused.

--- a/yardbank/pg/state.py
+++ b/yardbank/pg/state.py
@@ -66,7 +66,12 @@
     last: bytes = b""
 
 
-ServerEvent = StartupReceived | LetIn | Pipeline | CopyMessage | CancelReceived | TerminateReceived | Broken
+@dataclass(slots=True, frozen=True)
+class Discarded:
+    """A message was discarded and its last octets were received."""
+
+
+ServerEvent = StartupReceived | LetIn | Pipeline | CopyMessage | CancelReceived | TerminateReceived | Discarded | Broken
 
 
 class _Phase(Enum):
@@ -89,6 +94,7 @@
         self._sasl_started = False
         self._pipeline: list[pg.Client] = []
         self._pipeline_octets = 0
+        self._discarding = False
         self._out = bytearray()
         self._version = VERSION_3_0
         self.copying = False  # set by the caller while the client may send CopyData
@@ -113,6 +119,11 @@
         """Total size of the first buffered message, as far as known."""
         return self._framer.announced
 
+    @property
+    def missing(self) -> int:
+        """Octets still to come of the message that is being received or discarded, as far as known."""
+        return self._framer.missing
+
     @property
     def has_message(self) -> bool:
         """Whether the first buffered message was received completely."""
@@ -131,6 +142,19 @@
             events += found
         return events
 
+    @property
+    def discarding(self) -> bool:
+        """Whether a message is being discarded."""
+        return self._discarding
+
+    def discard_message(self) -> None:
+        """Drops the first buffered message, also what is not received of it yet; ``Discarded`` follows its end.
+
+        A part of it must be buffered, and ``process_message`` have found none complete or not been called since.
+        """
+        self._framer.discard()
+        self._discarding = True
+
     def add(self, data: bytes) -> None:
         """Buffers received bytes for ``process_message``; input after the end of the connection is ignored."""
         if not self.over:
@@ -140,6 +164,8 @@
         """Processes the first buffered message and returns its events; None if no message is complete."""
         if self.over:
             return None
+        if self._discarding:
+            return self._end_discarded_message()
         events: list[ServerEvent] = []
         try:
             frame = self._framer.take()
@@ -152,6 +178,12 @@
             self._fail(events, "28P01", f"authentication failed: {problem}")
         return events
 
+    def _end_discarded_message(self) -> list[ServerEvent] | None:
+        if self._framer.is_discarding:
+            return None
+        self._discarding = False
+        return [Discarded()]
+
     def _fail(self, events: list[ServerEvent], state: str, reason: str) -> None:
         self._phase = _Phase.ENDED
         self._pipeline.clear()
--- a/yardbank/pg/wire.py
+++ b/yardbank/pg/wire.py
@@ -41,6 +41,7 @@
         """``most``: maximum octets of a body; ``startup``: the first message has no type octet (server's end)."""
         self._max_body, self._startup = most, startup
         self._buffer = bytearray()
+        self._discarding = 0  # octets to come of a frame that is discarded
 
     @property
     def waiting(self) -> int:
@@ -60,6 +61,16 @@
         """Whether all octets of the first frame are buffered; its length and type may be invalid."""
         return self._has_head and len(self._buffer) >= self.announced
 
+    @property
+    def missing(self) -> int:
+        """Octets still to come of the frame that is being received or discarded, as far as known."""
+        return self._discarding or max(0, self.announced - len(self._buffer))
+
+    @property
+    def is_discarding(self) -> bool:
+        """Whether octets of a frame that is discarded are still to come."""
+        return self._discarding > 0
+
     @property
     def _type_size(self) -> int:
         return 0 if self._startup else 1
@@ -74,7 +85,14 @@
 
     def add(self, data: bytes) -> None:
         """Adds received octets."""
-        self._buffer += data
+        skipped = min(self._discarding, len(data))
+        self._discarding -= skipped
+        self._buffer += data[skipped:] if skipped else data
+
+    def discard(self) -> None:
+        """Drops the first buffered frame, whose head must be complete and valid, and what is still to come of it."""
+        self._discarding = max(0, self.announced - len(self._buffer))
+        del self._buffer[: self.announced]
 
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Adds received octets and yields the complete frames. Raises ``WireError`` at an invalid length or type."""
--- a/yardbank/platform/client.py
+++ b/yardbank/platform/client.py
@@ -10,10 +10,11 @@
 
 from yardbank.interface import RequestClass
 from yardbank.pg import messages as pg
-from yardbank.pg.state import Broken, LetIn, ServerEnd
+from yardbank.pg.state import Broken, Discarded, LetIn, ServerEnd
 from yardbank.pg.state import Pipeline as Messages
 from yardbank.pg.wire import Frame
 from yardbank.platform.admission import State
+from yardbank.platform.memory_budget import GUARANTEED_OCTETS, Reservation
 from yardbank.platform.pipeline import Command, Pipeline
 from yardbank.platform.statement import Operation, StatementError, read_statement
 
@@ -49,13 +50,25 @@
     connections; a statement that reuses one is rejected.
     """
 
-    __slots__ = ("_arrived", "_end", "_open_ids", "_rejected_input", "_request_classes", "client_left", "pipeline")
+    __slots__ = (
+        "_arrived",
+        "_discard_answer",
+        "_end",
+        "_last_received",
+        "_open_ids",
+        "_rejected_input",
+        "_request_classes",
+        "client_left",
+        "pipeline",
+    )
 
     def __init__(self, request_classes: Mapping[str, RequestClass], open_ids: set[str]) -> None:
         self._end = ServerEnd(MAX_MESSAGE_OCTETS, trusted=SERVER_PARAMETERS, simple=True)
         self._request_classes = request_classes
         self._open_ids = open_ids
-        self._arrived = 0  # when the buffered octets arrived (ns)
+        self._arrived = 0  # when the buffered octets arrived, at the earliest (ns)
+        self._last_received = 0  # when octets were last received (ns)
+        self._discard_answer = b""  # to the message that is being discarded
         self._rejected_input = False  # some input was rejected: nothing after it is served
         self.pipeline = Pipeline()
         self.client_left = False  # the client has disconnected or sent Terminate: it gets no more answers
@@ -76,24 +89,45 @@
         return self._command_octets() + self._end.waiting
 
     @property
-    def wanted_octets(self) -> int:
-        """The same, counted as if the first buffered message had been received completely and queued."""
+    def has_large_message(self) -> bool:
+        """Whether the first buffered message needs more than is guaranteed to a connection."""
+        return self._end.open and self._message_octets() > GUARANTEED_OCTETS
+
+    def memory_to_queue(self) -> Reservation:
+        """Returns what is needed to receive the first buffered message completely and to queue its command."""
         announced = self._end.announced
-        if not announced:
-            return self._command_octets()
         behind = max(0, self._end.waiting - announced)
-        return self._command_octets() + COMMAND_OCTETS + QUERY_COPIES * announced + behind
+        return self._reservation(self._command_octets() + self._message_octets() + behind)
 
-    @property
-    def wanted_octets_to_read(self) -> int:
-        """The same, but with what one read may add. An idle connection needs nothing beyond its guaranteed octets."""
+    def memory_to_read(self) -> Reservation:
+        """Returns the same, but with what one read may add. An idle connection needs nothing beyond its guarantee."""
         occupied = self.occupied_octets
-        return max(self.wanted_octets, occupied + READ_SIZE) if occupied else 0
+        if not occupied:
+            return Reservation(0, 0)
+        to_queue = self.memory_to_queue()
+        return self._reservation(max(to_queue.wanted, occupied + READ_SIZE))
+
+    def _reservation(self, wanted: int) -> Reservation:
+        is_large = self.has_large_message
+        last_received = self._last_received if is_large and not self._end.has_message else None
+        return Reservation(self.occupied_octets, wanted, is_large, last_received)
+
+    def _message_octets(self) -> int:
+        """Memory in octets that the first buffered message needs once its command is queued."""
+        announced = self._end.announced
+        if not self._end.open or not announced:
+            return announced
+        return COMMAND_OCTETS + QUERY_COPIES * announced
 
     @property
     def read_size(self) -> int:
         """Octets to read at a time: what is missing of the message that is being received, within limits."""
-        return min(MAX_READ_SIZE, max(READ_SIZE, self._end.announced - self._end.waiting))
+        return min(MAX_READ_SIZE, max(READ_SIZE, self._end.missing))
+
+    def discard_message(self, answer: bytes) -> None:
+        """Drops the first buffered message, which is a large one; it gets ``answer`` once its last octet has come."""
+        self._discard_answer = answer
+        self._end.discard_message()
 
     @property
     def has_message(self) -> bool:
@@ -104,12 +138,13 @@
         pipeline = self.pipeline
         return COMMAND_OCTETS * len(pipeline) + QUERY_COPIES * pipeline.unanswered_octets + pipeline.held_octets
 
-    def receive(self, data: bytes, arrived: int) -> None:
+    def receive(self, data: bytes, now: int, arrived: int) -> None:
         """Buffers octets, split anywhere; the time limits of the commands that they complete count from ``arrived``.
 
         The caller processes all complete messages before it receives more, unless it lacks memory for them.
         """
         self._arrived = arrived
+        self._last_received = now
         if not self.client_left:
             self._end.add(data)
 
@@ -124,6 +159,8 @@
                 message = event.messages[0]
                 assert isinstance(message, pg.Query)
                 expedited += self._query(message.text, now)
+            elif isinstance(event, Discarded):
+                self.pipeline.add_answered(self._discard_answer)
             elif isinstance(event, Broken):
                 self._reject(event.reason, event.last)
             elif not isinstance(event, LetIn):  # Terminate or a CancelRequest
@@ -149,7 +186,7 @@
             return State.BUSY
         if not self._end.open:
             return State.NEW
-        return State.PARTIAL if self._end.waiting else State.IDLE
+        return State.PARTIAL if self._end.waiting or self._end.discarding else State.IDLE
 
     def _query(self, text: str, now: int) -> list[Command]:
         """Queues one query. Returns the commands before it whose deadline was moved forward because of it."""
--- a/yardbank/platform/client_memory.py
+++ b/yardbank/platform/client_memory.py
@@ -1,6 +1,6 @@
 """Memory of all client connections: reserves it, resumes connections that wait and ends waits that are too long.
 
-``MemoryBudget`` decides; this module calls the connections and owns the timer, which runs only while a message waits.
+``MemoryBudget`` decides; this module calls the connections and owns the timer, which runs only while some wait.
 """
 
 from __future__ import annotations
@@ -28,6 +28,9 @@
     def present(self) -> bool:
         """Whether the client is still connected; the connection ends if it is not."""
 
+    def unread(self) -> bool:
+        """Whether octets of the client are unread in the socket."""
+
 
 class ClientMemory:
     """Memory of all client connections, by their numbers."""
@@ -97,27 +100,30 @@
             self._is_resuming = False
 
     def _schedule_check(self) -> None:
-        if self.budget.waits_for_message and not self._is_check_scheduled:
+        if self.budget.waiting_count and not self._is_check_scheduled:
             self._is_check_scheduled = True
             self._call_at(self._now() + CHECK_INTERVAL, self._check)
 
     def _check(self) -> None:
-        """Frees memory that is held without progress, and ends waits that are too long."""
+        """Frees memory of clients that have left or make no progress, and ends waits that are too long."""
         self._is_check_scheduled = False
         now = self._now()
         for number in self.budget.waiting():
-            if (user := self._users.get(number)) is not None:
-                user.present()
-        for number in self.budget.stalled(now):
-            if not self.budget.waits_for_message:
-                break
-            self._discard(number)
+            self._users[number].present()  # a paused connection does not see the client's end by itself
+        self._discard_stalled(now)
         for number in self.budget.overdue(now):
             self._discard(number)
         self._schedule_check()
 
+    def _discard_stalled(self, now: int) -> None:
+        """Discards messages without progress until no message waits."""
+        checked: set[int] = set()
+        while pending := [number for number in self.budget.stalled(now) if number not in checked]:
+            for number in pending:  # those that get the memory then may be stalled as well
+                checked.add(number)
+                if self.budget.waits_for_message and not self._users[number].unread():
+                    self._discard(number)
+
     def _discard(self, number: int) -> None:
-        user = self._users.get(number)
-        if user is not None:
-            self.discarded += 1
-            user.discard_message()
+        self.discarded += 1
+        self._users[number].discard_message()
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -83,10 +83,11 @@
             self._on_lingering()
             return
         self._closing.on_event(Event.DATA_RECEIVED)
-        self._session.receive(data, self._arrival_time())
+        now = self.factory.gateway.now()
+        self._session.receive(data, now, self._arrival_time(now))
         self._advance()
 
-    def _arrival_time(self) -> int:
+    def _arrival_time(self, now: int) -> int:
         """Returns the earliest time (ns) at which the octets just read may have arrived.
 
         While reading was paused, octets waited in the socket, and their clients for an answer.
@@ -94,7 +95,7 @@
         arrived = self._unread_since
         if arrived is not None and not self.unread():
             self._unread_since = None
-        return self.factory.gateway.now() if arrived is None else arrived
+        return now if arrived is None else arrived
 
     def connectionLost(self, reason: Failure = Failure(ConnectionDone())) -> None:  # noqa: B008, N802
         """The client has disconnected: its open requests are withdrawn."""
@@ -199,7 +200,7 @@
 
         A close that waits must notice incoming data, so a connection without unanswered requests is always read.
         """
-        fits = self._reserve_memory(self._session.wanted_octets_to_read)
+        fits = self.factory.memory.reserve(self, self._session.memory_to_read())
         self.transport.read_size = self._session.read_size
         if self._session.is_full and not self._reading_paused:
             self.factory.queue_limit_reached(len(self._session.pipeline))
@@ -208,14 +209,17 @@
         elif self._session.may_resume:
             self._resume_reading()
 
-    def _reserve_memory(self, wanted: int) -> bool:
-        fits: bool = self.factory.reserve_memory(self.number, self._session.occupied_octets, wanted)
-        return fits
-
     def memory_freed(self) -> None:
         """Goes on after waiting for memory."""
         self._advance()
 
+    def discard_message(self) -> None:
+        """Discards the message that is being received, for lack of memory; its request is refused."""
+        if self._closing.accepts_requests and self._session.has_large_message:
+            reason = "no memory for a message of this size"
+            self._session.discard_message(client.encode_refusal(self.factory.retry_after_ms, reason))
+            self._advance()
+
     def _pause_reading(self) -> None:
         if not self._reading_paused:
             self._reading_paused = True
@@ -248,7 +252,7 @@
         Memory is reserved for each command before it is queued: in memory it takes several times its octets.
         """
         session = self._session
-        if session.is_full or (session.has_message and not self._reserve_memory(session.wanted_octets)):
+        if session.has_message and not self._may_queue():
             return False
         received = session.process_message(self.factory.gateway.now())
         if received is None:
@@ -262,6 +266,9 @@
                 self.factory.gateway.shorten_deadline(command.request, command.operation.expires)
         return True
 
+    def _may_queue(self) -> bool:
+        return not self._session.is_full and self.factory.memory.reserve(self, self._session.memory_to_queue())
+
     def _resume_reading(self) -> None:
         if self._reading_paused:
             self._reading_paused = False
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -13,6 +13,7 @@
 from yardbank.interface import RequestClass
 from yardbank.platform import client
 from yardbank.platform.admission import Admission, Descriptors, State, may_pipeline
+from yardbank.platform.client_memory import ClientMemory
 from yardbank.platform.closing import LINGER_TIMEOUT
 from yardbank.platform.connection import STOPPING_REASON, ClientConnection
 from yardbank.platform.memory_budget import MemoryBudget
@@ -33,15 +34,14 @@
         descriptors: Descriptors,
         request_classes: dict[str, RequestClass],
         log: Any,
-        memory: MemoryBudget,
+        budget: MemoryBudget,
     ) -> None:
         self.gateway = gateway
         self.admission = admission
         self.request_classes = request_classes
         self._log = log
         self._descriptors = descriptors
-        self._memory = memory
-        self._is_resuming = False
+        self.memory = ClientMemory(budget, gateway.now, gateway.call_at, self._warn_memory_full)
         self.retry_after_ms = min(gateway.settings.max_retry_after, FULL_RETRY_AFTER) // MS
         self.open_ids: set[str] = set()
         self.stopping = False
@@ -93,7 +93,7 @@
             self.counts["turned_away"] += 1
             self._warn("client_connections_bound", bound=limit)
         self._connections[connection.number] = connection
-        self._memory.connected(connection.number)
+        self.memory.connected(connection)
         if self._cancel_sweep is None:
             self._schedule_sweep()
         if evicted == connection.number:
@@ -107,7 +107,7 @@
     def may_open_more(self) -> bool:
         """Whether a connection may have more than one request open now."""
         max_servers = self._descriptors.max_servers(self.open_descriptors)
-        return not self._memory.is_full and may_pipeline(self.gateway.unanswered, max_servers)
+        return not self.memory.is_full and may_pipeline(self.gateway.unanswered, max_servers)
 
     def connection_state_changed(self, connection: ClientConnection, state: State) -> None:
         """Tells admission the state of a connection."""
@@ -116,39 +116,13 @@
         if state is State.IDLE:
             self.admission.touch(connection.number, now)
 
-    def reserve_memory(self, number: int, occupied: int, wanted: int) -> bool:
-        """Reserves memory for a connection. Returns whether it fits the budget of all connections."""
-        used = self._memory.used
-        fits = self._memory.reserve(number, occupied, wanted)
-        if not fits:
-            self._warn("client_memory_bound", **self.memory_view())
-        if self._memory.used < used:
-            self._resume_waiting()
-        return fits
-
-    def memory_view(self) -> dict[str, int]:
-        """Returns figures for the log: octets that clients occupy and may occupy, connections that wait for some."""
-        return {"used": self._memory.used, "limit": self._memory.limit, "waiting": self._memory.waiting_count}
-
-    def _resume_waiting(self) -> None:
-        """Resumes connections that wait for memory."""
-        if self._is_resuming:
-            return
-        self._is_resuming = True
-        try:
-            for number in self._memory.resumable():
-                self._connections[number].memory_freed()
-        finally:
-            self._is_resuming = False
-
-    def _release_memory(self, number: int) -> None:
-        self._memory.release(number)
-        self._resume_waiting()
+    def _warn_memory_full(self) -> None:
+        self._warn("client_memory_bound", **self.memory.view())
 
     def connection_closing(self, connection: ClientConnection) -> None:
         """No more requests of the connection are served; it holds its descriptor until it is lost."""
         self.admission.remove(connection.number)
-        self._release_memory(connection.number)
+        self.memory.release(connection)
         self._closing_since.setdefault(connection.number, self.gateway.now())
 
     def connection_lingering(self, connection: ClientConnection) -> None:
@@ -161,7 +135,7 @@
         self.admission.remove(connection.number)
         self._closing_since.pop(connection.number, None)
         self._connections.pop(connection.number, None)
-        self._release_memory(connection.number)
+        self.memory.release(connection)
         call_when_capacity, self._call_when_capacity = self._call_when_capacity, None
         if call_when_capacity is not None:
             call_when_capacity()
--- a/yardbank/platform/memory_budget.py
+++ b/yardbank/platform/memory_budget.py
@@ -4,12 +4,18 @@
 is reserved before octets are read and before a command is queued. Each connection is guaranteed enough for one short
 command, so that it is served whatever others send; the rest is shared. A connection whose next message does not fit is
 not read until others have freed memory; waiting connections resume in order.
+
+A request has to be answered in time, and its time is known only once it is read. So the wait of a message is bounded:
+while one waits, messages of others that make no progress are discarded, and in the end the waiting one is. A discarded
+message is refused, which never harms.
 """
 
 from __future__ import annotations
 
-from collections import OrderedDict
 from collections.abc import Iterator
+from dataclasses import dataclass
+
+from yardbank.gateway.api import MS
 
 MEGABYTE = 10**6
 BASE_MEMORY = 46 * MEGABYTE  # of the process and its connections, without data from clients
@@ -17,6 +23,18 @@
 GUARANTEED_OCTETS = 10 << 10  # of each connection: one read, and the command that it completes
 MIN_SHARED_OCTETS = 512 << 10  # a message of the greatest length, however many connections there are
 CLIENT_SHARE = 0.6  # of the remaining memory; the rest is for answers, lists and memory that the allocator keeps
+STALL_TIME = 100 * MS  # without further octets, after which a message may be discarded in favour of one that waits
+MAX_MESSAGE_WAIT = 250 * MS  # of one message; a request with no time left must be answered within half a second
+
+
+@dataclass(slots=True, frozen=True)
+class Reservation:
+    """What a connection occupies and wants to occupy."""
+
+    occupied: int  # octets
+    wanted: int  # octets, including the rest of the message that is being received
+    is_message: bool = False  # it is for a message that may need more than is guaranteed
+    last_received: int | None = None  # when octets of that message were last received (ns); None: it is complete
 
 
 class MemoryBudget:
@@ -35,7 +53,9 @@
         self._connections: set[int] = set()
         self._shared = 0  # octets that connections occupy beyond what is guaranteed to them
         self._occupied: dict[int, int] = {}
-        self._waiting: OrderedDict[int, None] = OrderedDict()
+        self._waiting_messages: dict[int, int] = {}  # connections whose message waits, since when (ns), in order
+        self._waiting: dict[int, None] = {}  # other connections that wait, in order
+        self._last_received: dict[int, int] = {}  # by connection with a reservation for an incomplete message (ns)
 
     @classmethod
     def of(cls, memory_mb: int) -> MemoryBudget:
@@ -62,32 +82,52 @@
     @property
     def waiting_count(self) -> int:
         """Number of connections that wait for memory."""
-        return len(self._waiting)
+        return len(self._waiting_messages) + len(self._waiting)
+
+    @property
+    def waits_for_message(self) -> bool:
+        """Whether a message waits for memory, so that a request may be kept from its answer."""
+        return bool(self._waiting_messages)
 
-    def reserve(self, number: int, occupied: int, wanted: int) -> bool:
-        """Reserves ``wanted`` octets for a connection that occupies ``occupied`` of them so far.
+    def reserve(self, number: int, reservation: Reservation, now: int) -> bool:
+        """Reserves memory for a connection at ``now`` (ns).
 
-        ``wanted`` includes the rest of the message being received. Returns whether it fits; otherwise the connection
-        keeps what it occupies and waits.
+        Returns whether it fits; otherwise the connection keeps what it occupies and waits.
         """
+        wanted = reservation.wanted
         others = self._shared - self._beyond_guaranteed(self._occupied.get(number, 0))
-        fits = wanted <= self._guaranteed or others + self._beyond_guaranteed(wanted) <= self.shared_limit
-        self._set(number, wanted if fits else occupied)
-        if fits:
+        has_room = others + self._beyond_guaranteed(wanted) <= self.shared_limit
+        fits = has_room or wanted <= max(self._guaranteed, self._occupied.get(number, 0))
+        self._set(number, wanted if fits else reservation.occupied)
+        self._last_received.pop(number, None)
+        if not fits:
+            self._wait(number, reservation.is_message, now)
+            return False
+        self._waiting.pop(number, None)
+        self._waiting_messages.pop(number, None)
+        if reservation.last_received is not None:
+            self._last_received[number] = reservation.last_received
+        return True
+
+    def _wait(self, number: int, is_message: bool, now: int) -> None:
+        if is_message:
             self._waiting.pop(number, None)
+            self._waiting_messages.setdefault(number, now)
         else:
+            self._waiting_messages.pop(number, None)
             self._waiting.setdefault(number)
-        return fits
 
     def release(self, number: int) -> None:
         """Frees everything that a connection occupies; nothing is guaranteed to it any longer."""
         self._set(number, 0)
         self._connections.discard(number)
+        self._last_received.pop(number, None)
         self._waiting.pop(number, None)
+        self._waiting_messages.pop(number, None)
 
     def waiting(self) -> list[int]:
-        """Returns the connections that wait, in order."""
-        return list(self._waiting)
+        """Returns the connections that wait, those with a message first."""
+        return [*self._waiting_messages, *self._waiting]
 
     def resumable(self) -> Iterator[int]:
         """Yields waiting connections in order, as long as memory is free and the one before no longer waits.
@@ -98,11 +138,23 @@
         for number in self.waiting():
             if self.is_full:
                 return
-            if number in self._waiting:
+            if self._waits(number):
                 yield number
-                if number in self._waiting:
+                if self._waits(number):
                     return
 
+    def _waits(self, number: int) -> bool:
+        return number in self._waiting_messages or number in self._waiting
+
+    def stalled(self, now: int) -> list[int]:
+        """Returns the connections whose reserved message makes no progress, those that stall longest first."""
+        found = [(at, number) for number, at in self._last_received.items() if now - at >= STALL_TIME]
+        return [number for _, number in sorted(found)]
+
+    def overdue(self, now: int) -> list[int]:
+        """Returns the connections whose message has waited as long as it may."""
+        return [number for number, since in self._waiting_messages.items() if now - since >= MAX_MESSAGE_WAIT]
+
     def _set(self, number: int, octets: int) -> None:
         before = self._occupied.pop(number, 0)
         self.used += octets - before
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -151,7 +151,7 @@
             **self.gateway.view(),
             discovery=self.watcher.view(),
             clients=clients,
-            client_memory=self.factory.memory_view(),
+            client_memory=self.factory.memory.view(),
             **self.factory.counts,
         )
         self.gateway.call_at(self.gateway.now() + VIEW_INTERVAL, self._log_view)
