Offer free memory again at each check, and none to a connection that will end

A usual message could have been refused after 0.25 s although memory was free, or have waited behind a connection that ends for an invalid message.

Cause: three gaps. An offer of freed memory ended if it met a connection that was just being advanced, and no later event had to follow. A connection whose last message had an invalid length of, say, 2 GB wanted that much until its earlier commands were answered, and as the first to wait kept others from their turn. A check that discarded messages relied on all of its connections being there at its end; one that ended meanwhile would have ended the check for good.

Change: each check offers free memory again; ServerEnd drops its buffer when it fails; a check skips what has ended.

Measured: test_memory_that_was_freed_while_its_next_user_was_busy_is_offered_again and test_a_connection_that_will_end_for_an_invalid_message_wants_no_memory_for_it failed before and pass. A third test pins that a message that waits for memory when the gateway stops is answered (57P03); it passed before too. The third gap was not forced.

--- a/tests/platform/test_memory_waits.py
+++ b/tests/platform/test_memory_waits.py
@@ -138,6 +138,43 @@
     assert world.factory.memory.budget.waits_for_message is False
 
 
+# Guards against a connection that wants the length it was sent, which never fits, and keeps others from their turn.
+def test_a_connection_that_will_end_for_an_invalid_message_wants_no_memory_for_it():
+    world = World(connections=200)
+    client, _ = world.connect()
+    client.dataReceived(query(READ) + b"Q\x7f\xff\xff\xff")
+    assert world.factory.memory.view()["waiting"] == 0 and client._session.memory_to_read().wanted < GUARANTEED_OCTETS
+
+
+# Guards against a free piece of memory that nobody is told of, so that a message is refused though it would fit.
+def test_memory_that_was_freed_while_its_next_user_was_busy_is_offered_again():
+    world = world_with(MIN_SHARED_OCTETS)
+    stalled_clients(world, 2)
+    usual, transport = world.connect()
+    left = send(usual, transport, LARGE)
+    usual._advancing = True  # the offer meets a connection that does not take it
+    for number in range(2):
+        world.factory.memory.release(world.factory._connections[number])
+    usual._advancing = False
+    assert transport.producerState == "paused"
+    advance(world, 2 * CHECK_INTERVAL / SECOND)
+    assert send(usual, transport, left) == b"" and world.factory.memory.discarded == 0
+
+
+def test_a_message_that_waits_for_memory_is_refused_when_the_gateway_stops():
+    world = world_with(MIN_SHARED_OCTETS)
+    stalled_clients(world, 3)
+    usual, transport = world.connect()
+    left = send(usual, transport, LARGE)
+    transport.socket = SimpleNamespace(recv=lambda *_: left[:1], fileno=lambda: -1)  # the rest is unread
+    world.factory.close_idle()
+    assert world.gateway.stop(SECOND).called
+    world.factory.close_all(lambda: None)
+    assert transport.producerState == "producing" and not transport.disconnecting
+    assert send(usual, transport, left) == b""
+    assert b"C57P03\0" in transport.value() and not world.backend.out
+
+
 def test_no_timer_runs_while_nothing_waits_for_memory():
     world = World(connections=200)
     client, transport = world.connect(START)
--- a/yardbank/pg/state.py
+++ b/yardbank/pg/state.py
@@ -187,6 +187,7 @@
     def _fail(self, events: list[ServerEvent], state: str, reason: str) -> None:
         self._phase = _Phase.ENDED
         self._pipeline.clear()
+        self._framer.clear()
         events.append(Broken(reason, pg.error(state, reason, severity="FATAL").encode()))
 
     def _handle_frame(self, frame: Frame, events: list[ServerEvent]) -> None:
--- a/yardbank/pg/wire.py
+++ b/yardbank/pg/wire.py
@@ -94,6 +94,10 @@
         self._discarding = max(0, self.announced - len(self._buffer))
         del self._buffer[: self.announced]
 
+    def clear(self) -> None:
+        """Drops everything that is buffered."""
+        self._buffer.clear()
+
     def feed(self, data: bytes) -> Iterator[Frame]:
         """Adds received octets and yields the complete frames. Raises ``WireError`` at an invalid length or type."""
         self.add(data)
--- a/yardbank/platform/client_memory.py
+++ b/yardbank/platform/client_memory.py
@@ -113,6 +113,7 @@
         self._discard_stalled(now)
         for number in self.budget.overdue(now):
             self._discard(number)
+        self._resume_waiting()  # an offer is lost if it meets a connection that is just being advanced
         self._schedule_check()
 
     def _discard_stalled(self, now: int) -> None:
@@ -121,9 +122,12 @@
         while pending := [number for number in self.budget.stalled(now) if number not in checked]:
             for number in pending:  # those that get the memory then may be stalled as well
                 checked.add(number)
-                if self.budget.waits_for_message and not self._users[number].unread():
+                user = self._users.get(number)
+                if self.budget.waits_for_message and user is not None and not user.unread():
                     self._discard(number)
 
     def _discard(self, number: int) -> None:
-        self.discarded += 1
-        self._users[number].discard_message()
+        """Discards a message; its connection may have ended because of one discarded before."""
+        if (user := self._users.get(number)) is not None:
+            self.discarded += 1
+            user.discard_message()
