--- a/review/6/play.py
+++ b/review/6/play.py
@@ -118,5 +118,10 @@
     return 1 if killed or ended else 0
 
 
+def test_spoilt_answers_do_not_exceed_the_memory_limit() -> int:
+    """Spoilt answers do not exceed the memory limit."""
+    return main(Path(__file__).parent, run)
+
+
 if __name__ == "__main__":
-    sys.exit(main(Path(__file__).parent, run))
+    sys.exit(test_spoilt_answers_do_not_exceed_the_memory_limit())
