--- a/review/standins2/rig.py
+++ b/review/standins2/rig.py
@@ -414,16 +414,14 @@
             self.process.send_signal(number)
 
     def memory_mb(self) -> float:
-        """Returns the resident memory of the process (MB); 0 if it has ended."""
+        """Returns the process's own resident memory (MB), without pages of files; 0 if it has ended."""
         if self.process is None or self.process.poll() is not None:
             return 0.0
         try:
-            for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-                if line.startswith("VmRSS"):
-                    return int(line.split()[1]) * 1024 / 1e6
+            lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
         except OSError:
-            pass
-        return 0.0
+            return 0.0
+        return sum(int(line.split()[1]) for line in lines if line.startswith(("RssAnon", "RssShmem"))) * 1024 / 1e6
 
     async def ready(self, limit: float = 30.0) -> bool:
         """Waits until the process answers an empty query."""
