Reserve memory for the answers of database servers before they are read

Cause: a message of a server may have 1 MiB, an answer that never ends keeps its buffer until its attempt's time is over, and nothing limits the sum over the connections. The same held for parameters before the connection is open (any number, kept for good), up to 64 parameters of an answer, errors of short fields, and octets between two answers.

Change: ConnectionMemory (was ClientMemory) and MemoryBudget serve the server connections too, with a budget of their own. Without room a connection is not read; an answer without progress is given up while another waits, as one that waited for 0.25 s. ClientEnd takes 64 KiB until it is open, an answer keeps three parameters and has one bound over all that is kept, an error has 64 fields, and the first octet that nobody asked for ends the connection. view and server_memory_bound tell.

Why it works: what is kept is counted where it is kept, and nothing is read before there is room for it.

--- a/tests/platform/test_memory_waits.py
+++ b/tests/platform/test_memory_waits.py
@@ -9,7 +9,7 @@
 from tests.support.platform import READ, READY, START, WRITE, World, query
 from yardbank.gateway import Reply
 from yardbank.gateway.api import MS, SECOND
-from yardbank.platform.client_memory import CHECK_INTERVAL
+from yardbank.platform.connection_memory import CHECK_INTERVAL
 from yardbank.platform.memory_budget import (
     GUARANTEED_OCTETS,
     MAX_MESSAGE_WAIT,
--- a/yardbank/pg/messages.py
+++ b/yardbank/pg/messages.py
@@ -21,6 +21,7 @@
 )
 
 MAX_PARAMETERS = 1000  # in one StartupMessage
+MAX_FAULT_FIELDS = 64  # in one ErrorResponse or NoticeResponse
 
 
 @dataclass(slots=True, frozen=True)
@@ -243,8 +244,11 @@
 
 def read_fault(frame: Frame) -> Fault:
     """Decodes an ErrorResponse or NoticeResponse. Raises ``WireError``."""
-    reader, found = Reader(frame.body), []
+    reader = Reader(frame.body)
+    found: list[tuple[str, str]] = []
     while (letter := reader.octet("field")) != 0:
+        if len(found) >= MAX_FAULT_FIELDS:
+            raise WireError(f"ErrorResponse: more than {MAX_FAULT_FIELDS} fields")
         found.append((chr(letter), reader.text("field")))
     reader.end("ErrorResponse")
     return Fault(tuple(found), frame.type == ord("N"))
--- a/yardbank/pg/state.py
+++ b/yardbank/pg/state.py
@@ -16,6 +16,7 @@
 
 MAX_PIPELINE = 10_000  # messages between two Syncs
 MAX_PIPELINE_OCTETS = 64 << 20
+MAX_GREETING_OCTETS = 64 << 10  # all that a server sends until it is ready for the first query
 
 
 @dataclass(slots=True, frozen=True)
@@ -334,7 +335,10 @@
     """The client's end of a connection to a server."""
 
     def __init__(self, user: str, database: str, password: str, nonce: str, most: int = 64 << 20) -> None:
-        self._framer = Framer(most)
+        """``most``: maximum octets of a message body; until the connection is open, ``MAX_GREETING_OCTETS`` in all."""
+        self._max_body = most
+        self._framer = Framer(min(most, MAX_GREETING_OCTETS))
+        self._greeting_octets = 0
         self._parameters = (("user", user), ("database", database), ("application_name", "yardbank"))
         self._exchange, self._password = ClientExchange(password, nonce), password
         self._open = self._ended = self._authenticated = False
@@ -349,6 +353,16 @@
         """Buffered octets of an incomplete message."""
         return self._framer.waiting
 
+    @property
+    def announced(self) -> int:
+        """Total octets of the message that is being received, as far as known."""
+        return self._framer.announced
+
+    @property
+    def greeting_octets(self) -> int:
+        """Octets of the messages received before the connection is open, which are kept until then."""
+        return 0 if self._open else self._greeting_octets
+
     def take_output(self) -> bytes:
         """Returns and clears the bytes to be written."""
         output, self._out = bytes(self._out), bytearray()
@@ -369,23 +383,23 @@
 
     def _handle_frame(self, frame: Frame) -> Iterator[ClientEvent]:
         kind = chr(frame.type)
-        if kind == "S":
-            name, setting = pg.read_parameter(frame)
-            self._server_parameters[name] = setting
-            if self._open:
-                yield Answer(frame)
-        elif self._open:
-            if kind == "Z":
-                self.status = pg.read_ready(frame).status
-                yield Idle(self.status)
-            else:
-                yield Answer(frame)
-        else:
+        if not self._open:
             yield from self._during_start_up(kind, frame)
+        elif kind == "Z":
+            self.status = pg.read_ready(frame).status
+            yield Idle(self.status)
+        else:
+            yield Answer(frame)
 
     def _during_start_up(self, kind: str, frame: Frame) -> Iterator[ClientEvent]:
-        """Handles a message that arrives before the connection is open."""
-        if kind == "R":
+        """Handles a message that arrives before the connection is open; what it keeps of them is bounded."""
+        self._greeting_octets += len(frame.body)
+        if self._greeting_octets > MAX_GREETING_OCTETS:
+            raise WireError(f"more than {MAX_GREETING_OCTETS} octets before the connection is open")
+        if kind == "S":
+            name, setting = pg.read_parameter(frame)
+            self._server_parameters[name] = setting
+        elif kind == "R":
             self._authenticate(frame)
         elif kind == "K":
             reader = Reader(frame.body)
@@ -394,7 +408,9 @@
             if not self._authenticated:
                 raise WireError("ready before anybody was let in")
             self._open, self.status = True, pg.read_ready(frame).status
-            yield Opened(dict(self._server_parameters), self._process, self._key)
+            self._framer.limit_body(self._max_body)
+            parameters, self._server_parameters = self._server_parameters, {}
+            yield Opened(parameters, self._process, self._key)
         elif kind == "E":
             fault = dict(pg.read_fault(frame).fields)
             self._ended = True
--- a/yardbank/pg/wire.py
+++ b/yardbank/pg/wire.py
@@ -79,6 +79,10 @@
     def _has_head(self) -> bool:
         return len(self._buffer) >= self._type_size + 4
 
+    def limit_body(self, most: int) -> None:
+        """Sets the maximum octets of a body, from the next frame on that is not complete."""
+        self._max_body = most
+
     def started(self) -> None:
         """The StartupMessage was received: all later messages have a type octet."""
         self._startup = False
--- a/yardbank/platform/backend.py
+++ b/yardbank/platform/backend.py
@@ -4,12 +4,14 @@
 
 import socket
 from collections.abc import Callable, Collection
+from itertools import count
 from typing import Any
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
 
+from yardbank.gateway import presence
 from yardbank.gateway.api import (
     LOST_DURING_CONNECT,
     SECOND,
@@ -21,6 +23,7 @@
     ServerSpec,
 )
 from yardbank.gateway.dial import dial
+from yardbank.platform.connection_memory import ConnectionMemory
 from yardbank.platform.server import PROBE, ServerSession
 from yardbank.platform.statement import Operation
 
@@ -38,7 +41,13 @@
         ready: Callable[[Connection], None],
         lost: Callable[[str], None],
         session: ServerSession | None = None,
+        memory: ConnectionMemory | None = None,
+        number: int = 0,
     ) -> None:
+        """``memory``: of all server connections, among which ``number`` is this one's (None: not limited)."""
+        self.number = number
+        self._memory = memory
+        self._has_reservation = self._reading_paused = False
         self._now = now
         self._ready = ready
         self._lost = lost
@@ -51,6 +60,8 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Sends the startup message."""
         self.transport.setTcpNoDelay(True)
+        if self._memory is not None:
+            self._memory.connected(self)
         self.transport.write(self._session.take_output())
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -58,17 +69,58 @@
         if self._is_closed or self._unusable:
             return
         session, was_open = self._session, self._session.open
-        reply = session.receive(data)
+        reply = session.receive(data, self._now())
         if session.open and not was_open and not session.broken:
             self._ready(self)
         if reply is not None:
             self._deliver(reply)
+        self._end_if_broken()
+        self._regulate_reading()
+
+    def _end_if_broken(self) -> None:
+        session = self._session
         if session.broken and not self._is_closed:
             self._unusable = True
             if session.busy:  # the server is there and has sent an invalid answer: the statement may have run
                 self._deliver(Reply("error", reason=f"spoilt answer: {session.broken}"))
             self._close(session.broken)
 
+    def _regulate_reading(self) -> None:
+        """Reserves memory for the rest of the message that is being received; pauses reading while there is none."""
+        if self._is_closed or self._memory is None:
+            return
+        reservation = self._session.memory_to_read()
+        if not reservation.wanted and not self._has_reservation:
+            return
+        self._has_reservation = reservation.wanted > 0
+        fits = self._memory.reserve(self, reservation)
+        if self._is_closed or fits is not self._reading_paused:
+            return
+        self._reading_paused = not fits
+        if fits:
+            self.transport.resumeProducing()
+        else:
+            self.transport.pauseProducing()
+
+    # connection_memory.MemoryUser
+
+    def memory_freed(self) -> None:
+        """Goes on reading if the memory now suffices."""
+        self._regulate_reading()
+
+    def discard_message(self) -> None:
+        """Gives up the answer that is being received, for lack of memory."""
+        self._session.discard_answer("no memory for an answer of this size")
+        self._end_if_broken()
+
+    def present(self) -> bool:
+        """Whether the server is still connected; its end is noticed once the connection is read again."""
+        return True
+
+    def unread(self) -> bool:
+        """Whether octets of the server are unread in the socket."""
+        return presence.unread(self.transport)
+
     def _deliver(self, reply: Reply) -> None:
         receiver, self._receiver = self._receiver, None
         probe_done, self._probe_done = self._probe_done, None
@@ -82,6 +134,8 @@
         if self._is_closed:
             return
         self._is_closed = True
+        if self._memory is not None:
+            self._memory.release(self)
         if not self._session.open and not self._session.broken:
             reason = LOST_DURING_CONNECT
         if (reply := self._session.ended()) is not None:
@@ -160,8 +214,16 @@
     """
 
     def __init__(
-        self, reactor: Any, now: Callable[[], int], fields: Collection[str] | None = None, log: Any = None
+        self,
+        reactor: Any,
+        now: Callable[[], int],
+        fields: Collection[str] | None = None,
+        log: Any = None,
+        memory: ConnectionMemory | None = None,
     ) -> None:
+        """``memory``: of all connections; None: not limited."""
+        self._memory = memory
+        self._numbers = count()
         self._reactor = reactor
         self._now = now
         self._fields = fields
@@ -180,7 +242,8 @@
         # The session is created together with its connection, so that both are freed together: objects that the dialler
         # holds live until the next garbage collection, because Twisted's connector and transport refer to each other.
         def build(lost_once: Callable[[str], None]) -> ServerConnection:
-            return ServerConnection(self._now, ready, lost_once, ServerSession(self._fields, report_invalid))
+            session = ServerSession(self._fields, report_invalid)
+            return ServerConnection(self._now, ready, lost_once, session, self._memory, next(self._numbers))
 
         return dial(self._reactor, server, build, lost)
 
--- a/yardbank/platform/client_memory.py
+++ b/yardbank/platform/connection_memory.py
@@ -1,4 +1,4 @@
-"""Memory of all client connections: reserves it, resumes connections that wait and ends waits that are too long.
+"""Memory of all connections of one kind: reserves it, resumes connections that wait and ends waits that are too long.
 
 ``MemoryBudget`` decides; this module calls the connections and owns the timer, which runs only while some wait.
 """
@@ -15,7 +15,7 @@
 
 
 class MemoryUser(Protocol):
-    """A client connection, as seen from here."""
+    """A connection to a client or a server, as seen from here."""
 
     number: int
 
@@ -23,17 +23,17 @@
         """Goes on after waiting for memory."""
 
     def discard_message(self) -> None:
-        """Frees the memory of the message that is being received, whose request is refused."""
+        """Frees the memory of the message that is being received, which will not be used."""
 
     def present(self) -> bool:
-        """Whether the client is still connected; the connection ends if it is not."""
+        """Whether the peer is still connected; the connection ends if it is not."""
 
     def unread(self) -> bool:
-        """Whether octets of the client are unread in the socket."""
+        """Whether octets of the peer are unread in the socket."""
 
 
-class ClientMemory:
-    """Memory of all client connections, by their numbers."""
+class ConnectionMemory:
+    """Memory of all connections of one kind, by their numbers."""
 
     def __init__(
         self,
@@ -105,7 +105,7 @@
             self._call_at(self._now() + CHECK_INTERVAL, self._check)
 
     def _check(self) -> None:
-        """Frees memory of clients that have left or make no progress, and ends waits that are too long."""
+        """Frees memory of peers that have left or make no progress, and ends waits that are too long."""
         self._is_check_scheduled = False
         now = self._now()
         for number in self.budget.waiting():
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -13,9 +13,9 @@
 from yardbank.interface import RequestClass
 from yardbank.platform import client
 from yardbank.platform.admission import Admission, Descriptors, State, may_pipeline
-from yardbank.platform.client_memory import ClientMemory
 from yardbank.platform.closing import LINGER_TIMEOUT
 from yardbank.platform.connection import STOPPING_REASON, ClientConnection
+from yardbank.platform.connection_memory import ConnectionMemory
 from yardbank.platform.memory_budget import MemoryBudget
 
 FULL_RETRY_AFTER = 250 * MS  # sent to a connection that is turned away
@@ -41,7 +41,7 @@
         self.request_classes = request_classes
         self._log = log
         self._descriptors = descriptors
-        self.memory = ClientMemory(budget, gateway.now, gateway.call_at, self._warn_memory_full)
+        self.memory = ConnectionMemory(budget, gateway.now, gateway.call_at, self._warn_memory_full)
         self.retry_after_ms = min(gateway.settings.max_retry_after, FULL_RETRY_AFTER) // MS
         self.open_ids: set[str] = set()
         self.stopping = False
@@ -91,7 +91,7 @@
         evicted = self.admission.connected(connection.number, now, limit)
         if evicted is not None:
             self.counts["turned_away"] += 1
-            self._warn("client_connections_bound", bound=limit)
+            self.warn("client_connections_bound", bound=limit)
         self._connections[connection.number] = connection
         self.memory.connected(connection)
         if self._cancel_sweep is None:
@@ -117,7 +117,7 @@
             self.admission.touch(connection.number, now)
 
     def _warn_memory_full(self) -> None:
-        self._warn("client_memory_bound", **self.memory.view())
+        self.warn("client_memory_bound", **self.memory.view())
 
     def connection_closing(self, connection: ClientConnection) -> None:
         """No more requests of the connection are served; it holds its descriptor until it is lost."""
@@ -145,13 +145,13 @@
     def client_rejected(self, reason: str) -> None:
         """Counts a client that sent what cannot be served."""
         self.counts["rejected"] += 1
-        self._warn("client_rejected", reason=reason[:200], rejected=self.counts["rejected"])
+        self.warn("client_rejected", reason=reason[:200], rejected=self.counts["rejected"])
 
     def queue_limit_reached(self, waiting: int) -> None:
         """Logs that so many queries wait on one connection that reading from it is paused."""
-        self._warn("client_queue_bound", waiting=waiting)
+        self.warn("client_queue_bound", waiting=waiting)
 
-    def _warn(self, event: str, **facts: Any) -> None:
+    def warn(self, event: str, **facts: Any) -> None:
         """Logs the first occurrence of each event in a second; the ``view`` event has the counts."""
         now = self.gateway.now()
         if now - self._logged_at.get(event, now - LOG_INTERVAL) >= LOG_INTERVAL:
--- a/yardbank/platform/memory_budget.py
+++ b/yardbank/platform/memory_budget.py
@@ -1,13 +1,13 @@
-"""Limits the memory that all clients of one gateway occupy together. No I/O.
+"""Limits the memory that all connections of one kind, to clients or to database servers, occupy together. No I/O.
 
 Limits on each connection do not limit their sum, and the platform kills a process that exceeds its memory limit. Memory
 is reserved before octets are read and before a command is queued. Each connection is guaranteed enough for one short
-command, so that it is served whatever others send; the rest is shared. A connection whose next message does not fit is
-not read until others have freed memory; waiting connections resume in order.
+command or answer, so that it is served whatever others send; the rest is shared. A connection whose next message does
+not fit is not read until others have freed memory; waiting connections resume in order.
 
 A request has to be answered in time, and its time is known only once it is read. So the wait of a message is bounded:
 while one waits, messages of others that make no progress are discarded, and in the end the waiting one is. A discarded
-message is refused, which never harms.
+message of a client is refused, which never harms; a discarded answer of a server is a failed attempt.
 """
 
 from __future__ import annotations
@@ -22,7 +22,11 @@
 MIN_BUDGET = 4 * MEGABYTE
 GUARANTEED_OCTETS = 10 << 10  # of each connection: one read, and the command that it completes
 MIN_SHARED_OCTETS = 512 << 10  # a message of the greatest length, however many connections there are
-CLIENT_SHARE = 0.6  # of the remaining memory; the rest is for answers, lists and memory that the allocator keeps
+CLIENT_SHARE = 0.6  # of the remaining memory
+SERVER_SHARE = 0.2  # of the remaining memory; the rest is for unsent answers, lists and what the allocator keeps
+MIN_SERVER_BUDGET = 2 * MEGABYTE
+SERVER_GUARANTEED_OCTETS = 4 << 10  # of each connection to a server: a short answer
+SERVER_MIN_SHARED_OCTETS = 1200 << 10  # an answer of the greatest length, however many connections there are
 STALL_TIME = 100 * MS  # without further octets, after which a message may be discarded in favour of one that waits
 MAX_MESSAGE_WAIT = 250 * MS  # of one message; a request with no time left must be answered within half a second
 
@@ -38,16 +42,20 @@
 
 
 class MemoryBudget:
-    """Memory that each client connection occupies, by the caller's numbers, and the connections that wait for memory.
+    """Memory that each connection occupies, by the caller's numbers, and the connections that wait for memory.
 
     Invariants: a reservation never takes more than ``limit`` together, except that each connection always gets its
-    guaranteed octets, and all together always get ``MIN_SHARED_OCTETS`` beyond those. A connection waits only while it,
+    guaranteed octets, and all together always get ``min_shared`` beyond those. A connection waits only while it,
     or others, occupy memory that a time limit will free.
     """
 
-    def __init__(self, limit: int, guaranteed: int = 0) -> None:
-        """``limit``: octets of all connections together; ``guaranteed``: octets that each one may always occupy."""
+    def __init__(self, limit: int, guaranteed: int = 0, min_shared: int = MIN_SHARED_OCTETS) -> None:
+        """``limit``: octets of all connections together; ``guaranteed``: octets that each one may always occupy.
+
+        ``min_shared``: octets that all together may always occupy beyond those.
+        """
         self.limit = limit
+        self._min_shared = min_shared
         self.used = 0
         self._guaranteed = guaranteed
         self._connections: set[int] = set()
@@ -59,16 +67,23 @@
 
     @classmethod
     def of(cls, memory_mb: int) -> MemoryBudget:
-        """Returns the budget for a process with this memory limit."""
+        """Returns the budget for all clients of a process with this memory limit."""
         available = memory_mb * MEGABYTE - BASE_MEMORY
         return cls(max(MIN_BUDGET, int(available * CLIENT_SHARE)), GUARANTEED_OCTETS)
 
+    @classmethod
+    def for_servers(cls, memory_mb: int) -> MemoryBudget:
+        """Returns the budget for all server connections of a process with this memory limit."""
+        available = memory_mb * MEGABYTE - BASE_MEMORY
+        limit = max(MIN_SERVER_BUDGET, int(available * SERVER_SHARE))
+        return cls(limit, SERVER_GUARANTEED_OCTETS, SERVER_MIN_SHARED_OCTETS)
+
     @property
     def shared_limit(self) -> int:
         """Octets that connections may occupy together beyond what is guaranteed to each."""
         if not self._guaranteed:
             return self.limit
-        return max(MIN_SHARED_OCTETS, self.limit - self._guaranteed * len(self._connections))
+        return max(self._min_shared, self.limit - self._guaranteed * len(self._connections))
 
     @property
     def is_full(self) -> bool:
--- a/yardbank/platform/server.py
+++ b/yardbank/platform/server.py
@@ -14,10 +14,13 @@
 from yardbank.pg import messages as pg
 from yardbank.pg.state import Answer, Broken, ClientEnd, Idle, Opened
 from yardbank.pg.wire import Frame, Reader, WireError
+from yardbank.platform.memory_budget import Reservation
 from yardbank.platform.report import DEFAULT_FIELDS, ORIGIN, parse_nanoseconds, read_report
 
 MAX_MESSAGE_OCTETS = 1 << 20  # answers of several hundred KiB were seen; a longer announced length counts as corrupt
+MAX_ANSWER_OCTETS = MAX_MESSAGE_OCTETS + (64 << 10)  # the longest message and those that come with it
 MAX_PARAMETERS = 64  # parameters sent along with one answer
+KEPT_PARAMETERS = frozenset(("part", "caught_up_to", "gauges"))
 MISS_STATES = frozenset(("25006", "72000"))
 FULL_STATE = "53300"
 STATEMENT_ERROR_CLASSES = frozenset(("22", "23", "42"))  # caused by the statement: every server would answer the same
@@ -33,8 +36,16 @@
     probe: bool
     frames: list[Frame] = field(default_factory=list)
     parameters: dict[str, str] = field(default_factory=dict)
+    parameter_count: int = 0
     fault: pg.Fault | None = None
     error: bytes = b""  # the fault as received
+    octets: int = 0  # received so far, without notices, which are not kept
+
+    def count(self, octets: int) -> None:
+        """Counts octets that are kept. Raises ``WireError`` if they are too many for one answer."""
+        self.octets += octets
+        if self.octets > MAX_ANSWER_OCTETS:
+            raise WireError(f"an answer of more than {MAX_ANSWER_OCTETS} octets")
 
 
 class ServerSession:
@@ -48,9 +59,26 @@
         self._report_invalid = report_invalid
         self._end = ClientEnd("backend", "store", "", "", MAX_MESSAGE_OCTETS)
         self._pending: _PendingStatement | None = None
+        self._last_received = 0  # when octets were last received (ns)
         self.open = False
         self.broken = ""  # why the connection is unusable
 
+    def memory_to_read(self) -> Reservation:
+        """Returns what the answer received so far occupies, and what it needs to the end of the message that it is in.
+
+        A connection between answers needs nothing beyond its guarantee.
+        """
+        kept = self._end.greeting_octets + (0 if self._pending is None else self._pending.octets)
+        occupied = kept + self._end.waiting
+        if self.broken or not occupied:
+            return Reservation(0, 0)
+        wanted = kept + max(self._end.announced, self._end.waiting)
+        return Reservation(occupied, wanted, is_message=True, last_received=self._last_received)
+
+    def discard_answer(self, reason: str) -> None:
+        """Gives up the answer that is being received: the connection is unusable from now on."""
+        self.broken = self.broken or reason
+
     @property
     def busy(self) -> bool:
         """Whether a statement is pending."""
@@ -67,8 +95,12 @@
         self._pending = _PendingStatement(b"INSERT 0 1" if write else b"SHOW" if probe else b"SELECT 1", probe)
         return pg.encode_client(pg.Query(text)).encode()
 
-    def receive(self, data: bytes) -> Reply | None:
-        """Takes octets, split anywhere, and returns the reply they complete. Sets ``broken`` after the last one."""
+    def receive(self, data: bytes, now: int = 0) -> Reply | None:
+        """Takes octets, split anywhere, and returns the reply they complete. Sets ``broken`` after the last one.
+
+        ``now``: time (ns) on any clock that does not go back.
+        """
+        self._last_received = now
         reply: Reply | None = None
         try:
             for event in self._end.receive(data):
@@ -86,7 +118,7 @@
                     self._take_frame(event.frame, self._pending)
         except WireError as problem:
             self.broken = self.broken or str(problem)
-        if reply is not None and self._end.waiting:
+        if self.open and self._pending is None and self._end.waiting:
             self.broken = self.broken or "more than was asked for"
         if self.broken and self.open:  # otherwise the server refused the connection in a well-formed message
             self._report_invalid(self.broken)
@@ -103,21 +135,31 @@
         """Takes one message of an answer; they must come in order."""
         kind = chr(frame.type)
         if kind == "S":
-            name, value = pg.read_parameter(frame)
-            pending.parameters[name] = value
-            if len(pending.parameters) > MAX_PARAMETERS:
-                raise WireError(f"more than {MAX_PARAMETERS} parameters")
+            self._take_parameter(frame, pending)
         elif kind == "N":
             pg.read_fault(frame)
         elif pending.fault is not None:
             raise WireError(f"message {kind!r} after an error")
         elif kind == "E":
+            pending.count(len(frame.body))
             pending.fault = pg.read_fault(frame)
             pending.error = frame.encode()
         else:
             _check_result(frame, pending)
+            pending.count(len(frame.body))
             pending.frames.append(frame)
 
+    @staticmethod
+    def _take_parameter(frame: Frame, pending: _PendingStatement) -> None:
+        """Takes one parameter; only those that are used are kept."""
+        name, value = pg.read_parameter(frame)
+        pending.parameter_count += 1
+        if pending.parameter_count > MAX_PARAMETERS:
+            raise WireError(f"more than {MAX_PARAMETERS} parameters")
+        if name in KEPT_PARAMETERS:
+            pending.count(len(frame.body))
+            pending.parameters[name] = value
+
     def _complete(self, pending: _PendingStatement) -> Reply:
         if pending.fault is None and len(pending.frames) < 3:
             raise WireError("an answer without its row")
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -16,6 +16,7 @@
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors, State
 from yardbank.platform.backend import PlatformBackend
 from yardbank.platform.config import PlatformConfig, needs_restart, specs, usable_sockets
+from yardbank.platform.connection_memory import ConnectionMemory
 from yardbank.platform.front import ClientFactory
 from yardbank.platform.listing import Listing
 from yardbank.platform.memory_budget import MemoryBudget
@@ -68,7 +69,13 @@
             stop_grace=min(MAX_GRACE, longest_deadline),
         )
         seconds = wall_seconds()
-        backend = PlatformBackend(reactor, lambda: self.gateway.now(), settings.report_fields, log)
+        self._server_memory = ConnectionMemory(
+            MemoryBudget.for_servers(config.memory_mb),
+            lambda: self.gateway.now(),
+            lambda at, call: self.gateway.call_at(at, call),
+            self._warn_server_memory_full,
+        )
+        backend = PlatformBackend(reactor, lambda: self.gateway.now(), settings.report_fields, log, self._server_memory)
         for name in unreachable_classes(settings.classes):
             log.warning("class_out_of_reach", request_class=name, note="no statement comment can contain its name")
         self.gateway = Gateway(
@@ -143,6 +150,9 @@
             self.gateway.apply_changes(listing.entries, listing.generation)
         self._readiness.list_heard()
 
+    def _warn_server_memory_full(self) -> None:
+        self.factory.warn("server_memory_bound", **self._server_memory.view())
+
     def _log_view(self) -> None:
         """Logs the gateway's own figures, for comparison with the traffic on its sockets."""
         clients = {state.name.lower(): count for state in State if (count := self.admission.count(state))}
@@ -152,6 +162,7 @@
             discovery=self.watcher.view(),
             clients=clients,
             client_memory=self.factory.memory.view(),
+            server_memory=self._server_memory.view(),
             **self.factory.counts,
         )
         self.gateway.call_at(self.gateway.now() + VIEW_INTERVAL, self._log_view)
