Route by no list before discovery's first one, however long an outage lasts

Cause: after 4 s without a list the stored one was put in force, as a restarted gateway has to be ready within 6 s. Being ready for clients and having a list to route by were one state.

The log has discovery_unheard, then requests at that server; without the outage the list is heard first.

Change: the stored list is applied together with discovery's first list, of which it may be the base. After 4 s the program listens, answers empty queries, knows no server and refuses requests until a list comes; it asks for the complete list then, as an agent need not send an unchanged one.

Why it works: without a list in force there is no server to which an attempt could be made; a refusal was never sent on.

--- a/yardbank/platform/readiness.py
+++ b/yardbank/platform/readiness.py
@@ -1,6 +1,9 @@
-"""Keeps a new process from taking requests until it has heard of discovery's list. No I/O.
+"""Decides when a new process listens for clients. No I/O.
 
-The list in the configuration may be older than drains that the platform counts as known from the start of the process.
+The list in the configuration may be older than drains that the platform counts as known from the start of the process,
+so no request is sent by it. A process listens once discovery's list is in force, as clients that are refused a
+connection go to another gateway. With discovery down it listens after a limited wait, to be ready in time; it knows no
+server then and refuses all requests until the list is there.
 """
 
 from __future__ import annotations
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -102,6 +102,7 @@
         self.watcher = Watcher(config.discovery, config.known.generation, self._apply_listing, reactor, log)
         self._reloader = Reloader(reactor.callLater, self._apply_config, log)
         self._readiness = Readiness(reactor.callLater, self._begin_serving)
+        self._is_list_in_force = False
         self.failure = ""  # why the program could not serve
         self._port: Any = None
         self._stop_requested = False
@@ -110,15 +111,16 @@
         self._stop_asked_at = 0.0  # s, on the reactor's clock
 
     def start(self) -> None:
-        """Applies the known list and watches discovery; listens for clients once discovery's first list is in force."""
-        self.gateway.apply_list(specs(self.config.known), self.config.known.generation)
+        """Watches discovery; listens for clients once discovery's first list is in force, or after a limited wait."""
         self._readiness.wait()
         self.watcher.start()
         self._log_view()
 
     def _begin_serving(self, is_list_heard: bool) -> None:
         if not is_list_heard:
-            self.log.warning("discovery_unheard", version=self.gateway.list_version, note="serving by the known list")
+            version = self.config.known.generation
+            self.log.warning("discovery_unheard", version=version, note="refusing requests until a list comes")
+            self.watcher.request_full_list()
         self._open_port(self._reactor.seconds() + listening.MAX_RETRY_S)
 
     def _open_port(self, give_up_at: float) -> None:
@@ -144,6 +146,10 @@
         )
 
     def _apply_listing(self, listing: Listing) -> None:
+        """Applies a list of discovery; the first one changes the known list, which is not in force before."""
+        if not self._is_list_in_force:
+            self._is_list_in_force = True
+            self.gateway.apply_list(specs(self.config.known), self.config.known.generation)
         if listing.reset:
             self.gateway.apply_list(specs(listing), listing.generation)
         else:
--- a/yardbank/platform/watch.py
+++ b/yardbank/platform/watch.py
@@ -56,6 +56,11 @@
             self.address = address
             self._perform(self._state_machine.move(self._now()))
 
+    def request_full_list(self) -> None:
+        """Opens a new watch that requests the complete list, which discovery sends even if nothing has changed."""
+        self._needs_full_list = True
+        self._perform(self._state_machine.move(self._now()))
+
     def stop(self) -> None:
         """Stops watching."""
         self._perform(self._state_machine.stop())
