Process a bounded number of commands in each turn of the event loop

Cause: a refused request is answered at once, its answer dispatches the connection's next command, which is refused within the same loop over events, and so on for all connections.

Change: TurnScheduler counts steps (a message read, a command dispatched), 64 in a turn. Beyond them connections wait, unread, and get one command each in the next turns: first those with little to do, one visit in four for the others. What was read and waits counts as unanswered wherever a connection may close, and is answered before the gateway ends.

Why it works: sockets and timers are served after 32 commands, and a client with one request waits for one command of each other connection at most.

Five tests that passed over 32 commands to a connection play the turns that these take now; the rig of real sockets plays what is put off to the next turn, as the event loop does. Their checks are the same.

--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -102,8 +102,10 @@
     world = World(replicas=4)
     made, transport = world.connect()
     made.dataReceived(b"".join(query(READ.replace("a1", f"q{n}")) for n in range(300)))
+    world.finish_turns()
     assert len(world.backend.out) == MAX_OPEN and transport.producerState == "paused"
     for n in range(300):
         assert len(world.backend.out) == min(n + MAX_OPEN, 300) and transport.value().count(READY) == n
         world.backend.out[n][1].attempt_done(Reply("ok", b"."))
+        world.finish_turns()
     assert transport.producerState == "producing" and transport.value().count(READY) == 300
--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -99,6 +99,7 @@
     for number, (client, _) in enumerate(made):
         slow = query(READ.replace("a1", f"slow-{number}"))  # is not answered, so that those behind it wait
         client.dataReceived(slow + b"".join(query(text.format(f"{number}-{at}")) for at in range(30)))
+        world.finish_turns()
     assert memory.used <= MIN_SHARED_OCTETS + len(made) * GUARANTEED_OCTETS
     # The last ones come when the shared memory is used up, and have what is guaranteed to each.
     queued = [client._session.occupied_octets for client, _ in made[150:]]
@@ -113,6 +114,7 @@
     for number in range(100):
         client, _ = world.connect()
         client.dataReceived(b"".join(query(WRITE.replace("a2", f"w{number}-{at}")) for at in range(30)))
+        world.finish_turns()
     assert world.factory.memory.view()["waiting"] > 50
     usual, transport = world.connect()
     usual.dataReceived(query(READ.replace("a1", "usual").replace("7f3a", "its own")))
--- a/tests/platform/test_memory_waits.py
+++ b/tests/platform/test_memory_waits.py
@@ -134,6 +134,7 @@
     world = World(connections=200)
     client, _ = world.connect()
     client.dataReceived(b"".join(query(READ.replace("a1", f"r{at}")) for at in range(256)) + b"Q\x7f\xff\xff\xff")
+    world.finish_turns()
     assert len(client._session.pipeline) == 257  # the last one ends the connection once the others are answered
     assert world.factory.memory.budget.waits_for_message is False
 
--- a/tests/platform/test_pipeline.py
+++ b/tests/platform/test_pipeline.py
@@ -227,10 +227,12 @@
     made, transport = world.connect()
     paused_at = world.gateway.now()
     made.dataReceived(b"".join(query(read(f"r{n}", f"k{n}", limit=1400)) for n in range(MAX_QUEUED)))
+    world.finish_turns()
     assert transport.producerState == "paused"
     world.clock.advance(0.3)
     for n in range(MAX_QUEUED - 2):
         answer(world, f"r{n}")
+        world.finish_turns()
     assert transport.producerState == "producing"
     limit = 900 * MS
     transport.socket = SimpleNamespace(recv=lambda *_: b"/", fileno=lambda: -1)  # more is unread
--- a/tests/support/client_sockets.py
+++ b/tests/support/client_sockets.py
@@ -34,6 +34,7 @@
             if condition():
                 return
             self.reactor.iterate(0.01)
+            self.clock.advance(0)  # what the gateway has put off to the next turn
         raise AssertionError("the condition never held")
 
     def client(self, first=START, answers=1):
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -193,6 +193,11 @@
         transport.clear()
         return made, transport
 
+    def finish_turns(self):
+        """Lets connections that wait for a later turn of the event loop go on."""
+        while self.factory.turns.waiting_count:
+            self.clock.advance(0)
+
 
 class Reactor(MemoryReactorClock):
     """Counts how often it was stopped."""
--- a/yardbank/gateway/gateway.py
+++ b/yardbank/gateway/gateway.py
@@ -188,6 +188,10 @@
         number = self._deadlines.add(at, callback)
         return lambda: self._deadlines.cancel(number)
 
+    def call_next_turn(self, callback: Callable[[], None]) -> None:
+        """Call ``callback`` in the next turn of the event loop."""
+        self._context.reactor.callLater(0, callback)
+
     def view(self) -> dict[str, Any]:
         """Return the gateway's view of its load and its servers, for the log."""
         endpoints, gossiped = self._endpoints, self._prober.gossiped
--- a/yardbank/platform/client.py
+++ b/yardbank/platform/client.py
@@ -182,7 +182,7 @@
 
     def state(self) -> State:
         """The connection's state, for admission."""
-        if len(self.pipeline):
+        if len(self.pipeline) or self.has_message:
             return State.BUSY
         if not self._end.open:
             return State.NEW
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -170,7 +170,7 @@
             self._advancing = False
         if not self._closing.accepts_requests:
             return
-        self.factory.connection_state_changed(self, State.STUCK if self._writing_paused else self._session.state())
+        self._report_state()
         if self._session.client_left:
             self._withdraw_requests()
             self.close(b"")
@@ -180,6 +180,12 @@
         if self._closing.accepts_requests:
             self._regulate_reading()
 
+    def _report_state(self) -> None:
+        state = self._session.state()
+        self.factory.connection_state_changed(self, State.STUCK if self._writing_paused else state)
+        if state is State.IDLE:
+            self.factory.turns.idle(self)
+
     def _close_if_stopping(self) -> None:
         """Closes the connection if nothing is unanswered, or half a request is while all connections are closed."""
         state = self._session.state()
@@ -198,13 +204,14 @@
     def _regulate_reading(self) -> None:
         """Pauses reading when too much is queued, on this connection or in total, and resumes it when little is.
 
+        Nothing more is read either while a message waits for one of the next turns.
         A close that waits must notice incoming data, so a connection without unanswered requests is always read.
         """
         fits = self.factory.memory.reserve(self, self._session.memory_to_read())
         self.transport.read_size = self._session.read_size
         if self._session.is_full and not self._reading_paused:
             self.factory.queue_limit_reached(len(self._session.pipeline))
-        if self._session.is_full or not fits:
+        if self._session.is_full or not fits or self._session.has_message:
             self._pause_reading()
         elif self._session.may_resume:
             self._resume_reading()
@@ -213,6 +220,10 @@
         """Goes on after waiting for memory."""
         self._advance()
 
+    def work(self) -> None:
+        """Goes on after waiting for one of the next turns."""
+        self._advance()
+
     def discard_message(self) -> None:
         """Discards the message that is being received, for lack of memory; its request is refused."""
         if self._closing.accepts_requests and self._session.has_large_message:
@@ -239,9 +250,22 @@
         if (last := pipeline.closing_command()) is not None:
             self.reject(last.close_reason, last.answer)
             return False
-        if self._process_message():
+        if self._has_work() and not self.factory.turns.may_step(self):
+            self.factory.turns.defer(self)
+            return False
+        if self._process_message() or self._dispatch_next():
+            self.factory.turns.stepped(self)
             return True
-        if self._writing_paused or (command := pipeline.next(self.factory.may_open_more())) is None:
+        return False
+
+    def _has_work(self) -> bool:
+        """Whether steps are left that may wait for a later turn; a single command is dispatched once it is read."""
+        pipeline = self._session.pipeline
+        return self._session.has_message or (pipeline.has_waiting and len(pipeline) > 1)
+
+    def _dispatch_next(self) -> bool:
+        """Dispatches the next command, if one may be. Returns whether it did."""
+        if self._writing_paused or (command := self._session.pipeline.next(self.factory.may_open_more())) is None:
             return False
         self._dispatch(command)
         return True
--- a/yardbank/platform/pipeline.py
+++ b/yardbank/platform/pipeline.py
@@ -78,6 +78,11 @@
         """Number of commands that are dispatched and not answered."""
         return self._open
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether a command is not dispatched yet."""
+        return self._open < self._unanswered
+
     @property
     def unanswered_octets(self) -> int:
         """Octets of text of the unanswered commands."""
@@ -107,7 +112,7 @@
 
     def next(self, allow_parallel: bool) -> Command | None:
         """Opens and returns the next command to dispatch; ``allow_parallel``: besides the first unanswered one."""
-        if self._open == self._unanswered or self._open >= MAX_OPEN:
+        if not self.has_waiting or self._open >= MAX_OPEN:
             return None
         if self._open and (not allow_parallel or self._held_octets >= MAX_HELD_OCTETS):
             return None
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -169,6 +169,7 @@
             clients=clients,
             client_memory=self.factory.memory.view(),
             server_memory=self._server_memory.view(),
+            clients_waiting_for_turn=self.factory.turns.waiting_count,
             **self.factory.counts,
         )
         self.gateway.call_at(self.gateway.now() + VIEW_INTERVAL, self._log_view)
