Notice clients that closed behind more data than their sockets hold

What callers saw: operators elsewhere, that a client closed its connection with much still unread and its requests were sent on afterwards.

Cause: while a connection is not read its sockets fill; what they do not hold stays with the client's system, and the end of the connection behind it. The check before an attempt asks only what has arrived.

The new test fails on the code before: the system knows of no end of the connection for 30 s.

Change: PresenceChecks writes a ParameterStatus, which clients skip, every 30 ms to each connection that is not read. A closed peer resets it, which the check before an attempt sees; open requests of such a client are withdrawn at once. The answer's sink is a module of its own.

Why it works: 30 ms, the way there and back and a turn of the event loop are less than the 100 ms that are allowed.

Tests: three that compare all octets written while a message waits for memory leave such messages out; the rest is the same.

--- a/tests/platform/test_race_client_end.py
+++ b/tests/platform/test_race_client_end.py
@@ -4,11 +4,13 @@
 
 import pytest
 
-from tests.support.client_sockets import GONE, Wire, arrives, go
-from tests.support.platform import READ, WRITE, World, query
+from tests.support.client_sockets import GONE, Wire, arrives, go, readable
+from tests.support.platform import READ, READY, WRITE, World, query
 from yardbank.gateway import Reply
+from yardbank.gateway.api import SECOND
 from yardbank.platform import client
 from yardbank.platform.pipeline import MAX_OPEN
+from yardbank.platform.presence_checks import CHECK_INTERVAL
 
 
 @pytest.fixture
@@ -102,6 +104,56 @@
     assert wire.gateway.counts["left"] == MAX_OPEN and wire.gateway.unanswered == 0
 
 
+def send_until_blocked(far, octets):
+    """Sends all that both sockets hold while nothing is read, and at least the first queue of commands."""
+    far.setblocking(False)
+    while True:
+        try:
+            octets = octets[far.send(octets) :]
+        except BlockingIOError:
+            return
+
+
+# Guards against requests that are sent on after their client has closed, as its end waits behind what the sockets hold.
+@pytest.mark.parametrize("how", ["closed", "reset"])
+def test_a_disconnect_behind_more_data_than_the_sockets_hold_is_noticed(wire, how):
+    far, near = wire.client()
+    send_until_blocked(far, b"".join(query(READ.replace("a1", f"q{n}")) for n in range(100_000)))
+    wire.until(lambda: near._reading_paused)
+    send_until_blocked(far, query(READ.replace("7f3a", "f" * 256)) * 30_000)
+    assert len(wire.backend.out) == MAX_OPEN and near.present()
+    go(far, how)
+    wire.clock.advance(CHECK_INTERVAL / SECOND)
+    wire.reactor.iterate(0)
+    arrives(near, GONE)
+    assert not near.present()
+    wire.backend.out[-1][1].attempt_done(Reply("ok", b"not the first in the row, so that nothing is written"))
+    wire.clock.advance(CHECK_INTERVAL / SECOND)
+    assert len(wire.backend.out) == MAX_OPEN and wire.gateway.unanswered == 0 and not wire.factory.open_ids
+
+
+def test_a_client_whose_connection_is_not_read_and_who_stays_gets_messages_that_it_skips_and_all_answers(wire):
+    far, near = wire.client()
+    far.sendall(b"".join(query(READ.replace("a1", f"q{n}").replace("7f3a", f"k{n}")) for n in range(client.MAX_QUEUED)))
+    wire.until(lambda: near._reading_paused)
+    for _ in range(5):
+        wire.clock.advance(CHECK_INTERVAL / SECOND)
+        wire.until(lambda: not near.transport.unsent)
+    for n in range(client.MAX_QUEUED):
+        wire.until(lambda n=n: len(wire.backend.out) > n)
+        wire.backend.out[n][1].attempt_done(Reply("ok", b"."))
+    received = b""
+    while received.count(READY) < client.MAX_QUEUED:
+        wire.until(lambda: readable(far))
+        received += far.recv(1 << 16)
+    assert received.startswith(client.PRESENCE_PROBE)
+    assert received.replace(client.PRESENCE_PROBE, b"") == (b"." + READY) * client.MAX_QUEUED
+    before = len(received)
+    wire.clock.advance(10 * CHECK_INTERVAL / SECOND)
+    wire.reactor.iterate(0)
+    assert len(received) == before and not readable(far, 0)  # a connection that is read gets none
+
+
 def test_terminate_withdraws_the_open_request(wire):
     far, near = wire.client()
     far.sendall(query(READ) + query(WRITE) + b"X\0\0\0\4")
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -13,7 +13,7 @@
 from yardbank.pg import messages as pg
 from yardbank.pg.wire import VERSION_3_0, Frame, int16, int32, text, value
 from yardbank.platform.admission import Admission, AdmissionLimits, Descriptors
-from yardbank.platform.client import Received
+from yardbank.platform.client import PRESENCE_PROBE, Received
 from yardbank.platform.config import (
     load_config,
 )
@@ -102,6 +102,11 @@
     return pg.encode_client(pg.Query(statement)).encode()
 
 
+def answers_in(transport):
+    """What a client connection was sent, without the messages that only test whether the client is there."""
+    return transport.value().replace(PRESENCE_PROBE, b"")
+
+
 def receive(session, octets, now):
     """Passes octets to a client session that has memory for all of them; returns the output and expedited commands."""
     session.receive(octets, now, now)
--- a/yardbank/pg/messages.py
+++ b/yardbank/pg/messages.py
@@ -273,6 +273,11 @@
     return Ready(frame.body.decode())
 
 
+def write_parameter(name: str, setting: str) -> Frame:
+    """Encodes a ParameterStatus."""
+    return Frame(ord("S"), text(name) + text(setting))
+
+
 def read_parameter(frame: Frame) -> tuple[str, str]:
     """Decodes a ParameterStatus to name and value. Raises ``WireError``."""
     reader = Reader(frame.body)
--- a/yardbank/pg/state.py
+++ b/yardbank/pg/state.py
@@ -269,7 +269,7 @@
         self._phase = _Phase.OPEN
         self._out += Frame(ord("R"), int32(0)).encode()
         for name, setting in parameters.items():
-            self._out += Frame(ord("S"), text(name) + text(setting)).encode()
+            self._out += pg.write_parameter(name, setting).encode()
         sent_key = key if self._version >= VERSION_3_2 else key[:4]
         self._out += Frame(ord("K"), int32(process) + sent_key).encode()
         self._out += Frame(ord("Z"), b"I").encode()
--- a/yardbank/platform/client.py
+++ b/yardbank/platform/client.py
@@ -25,6 +25,7 @@
     "standard_conforming_strings": "on",
 }
 READY_FOR_QUERY = Frame(ord("Z"), b"I").encode()
+PRESENCE_PROBE = pg.write_parameter("client_encoding", SERVER_PARAMETERS["client_encoding"]).encode()
 EMPTY_QUERY_ANSWER = Frame(ord("I"), b"").encode() + READY_FOR_QUERY
 # Commands of one connection whose answers are not written yet; reading pauses at either limit.
 MAX_QUEUED, MAX_QUEUED_OCTETS = 256, 256 << 10
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
@@ -10,14 +10,15 @@
 from zope.interface import implementer
 
 from yardbank.gateway import presence
-from yardbank.gateway.api import MS, Call
+from yardbank.gateway.api import Call
 from yardbank.platform import client
 from yardbank.platform.admission import State
+from yardbank.platform.answer_sink import AnswerSink
 from yardbank.platform.client import ClientSession
 from yardbank.platform.closing import Event
 from yardbank.platform.lingering import LingeringProtocol
 from yardbank.platform.pipeline import Command
-from yardbank.platform.statement import Operation, since_write
+from yardbank.platform.statement import since_write
 
 if TYPE_CHECKING:
     from yardbank.platform.front import ClientFactory
@@ -26,35 +27,6 @@
 STOPPING_REASON = "the gateway is stopping"
 
 
-class _AnswerSink:
-    """Receives the result of one request and passes it to the command that asked."""
-
-    __slots__ = ("_command", "_connection", "_operation")
-
-    def __init__(self, connection: ClientConnection, command: Command, operation: Operation) -> None:
-        self._connection = connection
-        self._command = command
-        self._operation = operation
-
-    def part(self, payload: Any) -> None:
-        """Ignored: answers are passed on only when they are complete."""
-
-    def served(self, payload: bytes) -> None:
-        self._connection.answer(self._command, client.encode_result(payload))
-
-    def refused(self, retry_after: int, reason: str) -> None:
-        self._connection.answer(self._command, client.encode_refusal(retry_after // MS, reason))
-
-    def failed(self, reason: str) -> None:
-        """The request may have run. If it was never sent it cannot have run, and the client is told so."""
-        if self._operation.sent:
-            self._connection.answer(self._command, client.encode_failure(reason))
-            return
-        factory = self._connection.factory
-        factory.counts["failed_unsent"] += 1
-        self._connection.answer(self._command, client.encode_refusal(factory.retry_after_ms, reason))
-
-
 @implementer(IPushProducer)
 class ClientConnection(LingeringProtocol):
     """One client connection."""
@@ -119,6 +91,13 @@
         self._resume_reading()  # read up to the client's end, so that ``connectionLost`` is called
         return False
 
+    def check_presence(self) -> None:
+        """Ends the connection if its client has left; otherwise writes a message that a closed peer resets."""
+        if not self._closing.accepts_requests or not self.present():
+            self._advance()
+        elif not self._writing_paused and not getattr(self.transport, "unsent", False):
+            self.transport.write(client.PRESENCE_PROBE)
+
     def answer(self, command: Command, octets: bytes) -> None:
         """Takes the one final answer of a command; it is written when its turn comes."""
         self._session.answered(command, octets)
@@ -237,6 +216,7 @@
             if self._unread_since is None:
                 self._unread_since = self.factory.gateway.now()
             self.transport.pauseProducing()
+            self.factory.presence_checks.paused(self)
 
     def _process_next(self) -> bool:
         """Takes one step with the received and the queued commands. Returns whether there was one."""
@@ -296,6 +276,7 @@
     def _resume_reading(self) -> None:
         if self._reading_paused:
             self._reading_paused = False
+            self.factory.presence_checks.resumed(self)
             self.transport.resumeProducing()
 
     def _dispatch(self, command: Command) -> None:
@@ -309,7 +290,7 @@
             class_name=request_class.name,
             group=statement.group,
             operation=operation,
-            sink=_AnswerSink(self, command, operation),
+            sink=AnswerSink(self, command, operation),
             session=statement.key if request_class.read in ("session", "write") else None,
             since_write=since_write(statement, gateway.now()),
             expires=operation.expires,
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -17,6 +17,7 @@
 from yardbank.platform.connection import STOPPING_REASON, ClientConnection
 from yardbank.platform.connection_memory import ConnectionMemory
 from yardbank.platform.memory_budget import MemoryBudget
+from yardbank.platform.presence_checks import PresenceChecks
 from yardbank.platform.turn_scheduler import TurnScheduler
 
 FULL_RETRY_AFTER = 250 * MS  # sent to a connection that is turned away
@@ -45,6 +46,7 @@
         self.memory = ConnectionMemory(budget, gateway.now, gateway.call_at, self._warn_memory_full)
         self.retry_after_ms = min(gateway.settings.max_retry_after, FULL_RETRY_AFTER) // MS
         self.turns = TurnScheduler(gateway.call_next_turn)
+        self.presence_checks = PresenceChecks(gateway.now, gateway.call_at)
         self.open_ids: set[str] = set()
         self.stopping = False
         self.is_closing_all = False  # everything taken is answered; each connection is read at most once more
@@ -125,6 +127,7 @@
         """No more requests of the connection are served; it holds its descriptor until it is lost."""
         self.admission.remove(connection.number)
         self.turns.discard(connection)
+        self.presence_checks.resumed(connection)
         self.memory.release(connection)
         self._closing_since.setdefault(connection.number, self.gateway.now())
 
@@ -139,6 +142,7 @@
         self._closing_since.pop(connection.number, None)
         self._connections.pop(connection.number, None)
         self.turns.discard(connection)
+        self.presence_checks.resumed(connection)
         self.memory.release(connection)
         call_when_capacity, self._call_when_capacity = self._call_when_capacity, None
         if call_when_capacity is not None:
