--- a/tests/platform/test_sessions.py
+++ b/tests/platform/test_sessions.py
@@ -12,13 +12,14 @@
 from yardbank.pg.wire import Frame, int16, int32, text, value
 from yardbank.platform.admission import State
 from yardbank.platform.client import EMPTY_QUERY_ANSWER, MAX_MESSAGE_OCTETS, ClientSession
+from yardbank.platform.recent_effects import RecentEffects
 from yardbank.platform.report import read_report
 from yardbank.platform.server import ServerSession
 from yardbank.platform.statement import Operation, read_statement
 
 
 def test_a_query_may_follow_the_startup_at_once_and_queries_are_answered_in_order():
-    session = ClientSession(KINDS, set())
+    session = ClientSession(KINDS, set(), RecentEffects(lambda: 0))
     assert session.state() is State.NEW
     received = receive(session, START + query("") + query(READ), 7 * MS)
     assert received.output.startswith(b"R") and received.output.endswith(b"Z\0\0\0\5I") and not received.expedited
@@ -48,7 +49,7 @@
     ],
 )
 def test_invalid_input_after_a_valid_query_is_answered_in_order(noise):
-    session = ClientSession(KINDS, set())
+    session = ClientSession(KINDS, set(), RecentEffects(lambda: 0))
     receive(session, START + query(READ) + noise, 0)
     command = session.pipeline.next(True)
     assert session.pipeline.next(True) is None and session.pipeline.closing_command() is None
@@ -60,7 +61,7 @@
 
 def test_nothing_is_taken_after_a_terminate_message():
     held = set()
-    session = ClientSession(KINDS, held)
+    session = ClientSession(KINDS, held, RecentEffects(lambda: 0))
     receive(session, START + query(READ) + pg.encode_client(pg.TERMINATE).encode(), 0)
     assert session.client_left and held == {"a1"}
     (command,) = session.leave()
--- a/yardbank/platform/answer_sink.py
+++ b/yardbank/platform/answer_sink.py
@@ -32,6 +32,7 @@
 
     def refused(self, retry_after: int, reason: str) -> None:
         """Passes on that nothing ran; ``retry_after``: ns."""
+        self._operation.refused = True
         self._connection.answer(self._command, client.encode_refusal(retry_after // MS, reason))
 
     def failed(self, reason: str) -> None:
--- a/yardbank/platform/client.py
+++ b/yardbank/platform/client.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from yardbank.interface import RequestClass
+from yardbank.interface import Effect, RequestClass
 from yardbank.pg import messages as pg
 from yardbank.pg.state import Broken, Discarded, LetIn, ServerEnd
 from yardbank.pg.state import Pipeline as Messages
@@ -16,6 +16,7 @@
 from yardbank.platform.admission import State
 from yardbank.platform.memory_budget import GUARANTEED_OCTETS, Reservation
 from yardbank.platform.pipeline import Command, Pipeline
+from yardbank.platform.recent_effects import RecentEffects
 from yardbank.platform.statement import Operation, StatementError, read_statement
 
 MAX_MESSAGE_OCTETS = 160 << 10  # a value of 64 KiB in hexadecimal and the text around it
@@ -48,7 +49,8 @@
     """Reads the input of one client.
 
     ``request_classes``: classes by name. ``open_ids``: the client-chosen ids of unanswered requests, over all
-    connections; a statement that reuses one is rejected.
+    connections; a statement that reuses one is rejected. ``recent_effects``: ids of requests that may have taken
+    effect, over all connections; another one that would take effect fails, as it may have run.
     """
 
     __slots__ = (
@@ -57,16 +59,20 @@
         "_end",
         "_last_received",
         "_open_ids",
+        "_recent_effects",
         "_rejected_input",
         "_request_classes",
         "client_left",
         "pipeline",
     )
 
-    def __init__(self, request_classes: Mapping[str, RequestClass], open_ids: set[str]) -> None:
+    def __init__(
+        self, request_classes: Mapping[str, RequestClass], open_ids: set[str], recent_effects: RecentEffects
+    ) -> None:
         self._end = ServerEnd(MAX_MESSAGE_OCTETS, trusted=SERVER_PARAMETERS, simple=True)
         self._request_classes = request_classes
         self._open_ids = open_ids
+        self._recent_effects = recent_effects
         self._arrived = 0  # when the buffered octets arrived, at the earliest (ns)
         self._last_received = 0  # when octets were last received (ns)
         self._discard_answer = b""  # to the message that is being discarded
@@ -203,6 +209,9 @@
         except StatementError as problem:
             self._reject(str(problem), encode_rejection(str(problem)))
             return []
+        if statement.request_class.effect != Effect.SAFE and self._recent_effects.is_repeated(statement.id):
+            self.pipeline.add_answered(encode_failure("a request with this id may have run"))
+            return []
         self._open_ids.add(statement.id)
         expires = self._arrived + min(statement.request_class.deadline, statement.time_limit)
         return self.pipeline.add(Operation(statement, expires), _encoded_size(text), now)
@@ -214,9 +223,13 @@
             self.pipeline.add_answered(last, reason)
 
     def _close(self, command: Command) -> None:
-        """Releases the id of a command that is no longer open."""
-        if command.operation is not None:
-            self._open_ids.discard(command.operation.statement.id)
+        """Releases the id of a command that is no longer open; it is remembered if the command may have an effect."""
+        if command.operation is None:
+            return
+        request_id = command.operation.statement.id
+        self._open_ids.discard(request_id)
+        if command.operation.may_have_effect:
+            self._recent_effects.add(request_id)
 
 
 def _encoded_size(query: str) -> int:
--- a/yardbank/platform/connection.py
+++ b/yardbank/platform/connection.py
@@ -35,7 +35,7 @@
         super().__init__()
         self.factory = factory
         self.number = number
-        self._session = ClientSession(factory.request_classes, factory.open_ids)
+        self._session = ClientSession(factory.request_classes, factory.open_ids, factory.recent_effects)
         self._advancing = self._writing_paused = self._reading_paused = False
         self._unread_since: int | None = None  # octets received next may have waited in the socket since then (ns)
         self._has_answered = False  # a client that was answered before sends a request again if the close overtakes it
--- a/yardbank/platform/front.py
+++ b/yardbank/platform/front.py
@@ -18,6 +18,7 @@
 from yardbank.platform.connection_memory import ConnectionMemory
 from yardbank.platform.memory_budget import MemoryBudget
 from yardbank.platform.presence_checks import PresenceChecks
+from yardbank.platform.recent_effects import RecentEffects
 from yardbank.platform.turn_scheduler import TurnScheduler
 
 FULL_RETRY_AFTER = 250 * MS  # sent to a connection that is turned away
@@ -48,6 +49,7 @@
         self.turns = TurnScheduler(gateway.call_next_turn)
         self.presence_checks = PresenceChecks(gateway.now, gateway.call_at)
         self.open_ids: set[str] = set()
+        self.recent_effects = RecentEffects(gateway.now)
         self.stopping = False
         self.is_closing_all = False  # everything taken is answered; each connection is read at most once more
         self.counts = dict.fromkeys(
--- a/yardbank/platform/service.py
+++ b/yardbank/platform/service.py
@@ -169,6 +169,7 @@
             clients=clients,
             client_memory=self.factory.memory.view(),
             server_memory=self._server_memory.view(),
+            repeated_ids=self.factory.recent_effects.repeated,
             clients_waiting_for_turn=self.factory.turns.waiting_count,
             **self.factory.counts,
         )
--- a/yardbank/platform/statement.py
+++ b/yardbank/platform/statement.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 
 from yardbank.gateway.api import MS
-from yardbank.interface import RequestClass
+from yardbank.interface import Effect, RequestClass
 
 MAX_VALUE_OCTETS = 64 << 10
 MAX_DEADLINE_MS = 86_400_000
@@ -59,6 +59,12 @@
     statement: Statement
     expires: int
     sent: bool = False  # octets of it were handed to the system for a server, or still may be
+    refused: bool = False  # the client was told that nothing ran
+
+    @property
+    def may_have_effect(self) -> bool:
+        """Whether it may have changed data, or may change it yet."""
+        return self.sent and not self.refused and self.statement.request_class.effect != Effect.SAFE
 
 
 def _number(fields: Mapping[str, str], name: str) -> int:
