LDAP: bound the incomplete requests of all clients together

What callers saw: operators elsewhere, that hundreds of clients that wrote slowly or stopped half way through a large request had a process killed for its memory. Here the LDAP daemon grew by 1 MB for each client that sent 1 of 3 MB announced.

Cause: a message may have 4 MiB, and nothing limits the sum over the connections. The framer also copied and parsed all that had come before at each read.

Change: PartialRequests, 64 MiB; beyond it the clients that have brought nothing for the longest time are told that the server is busy and closed. The framer waits until a message whose length is known is complete.

Why it works: the sum is bounded after each read, and who makes progress is behind those who do not.

--- a/yardbank/ldap/ber.py
+++ b/yardbank/ldap/ber.py
@@ -121,24 +121,33 @@
     def __init__(self, limit: int = 4 << 20) -> None:
         self.limit = limit
         self._buffer = bytearray()
+        self._needed = 0  # octets of the incomplete message in all, once its length is known
 
     @property
     def pending(self) -> int:
         """Buffered octets of an incomplete message."""
         return len(self._buffer)
 
+    def clear(self) -> None:
+        """Drops what is buffered."""
+        self._buffer.clear()
+        self._needed = 0
+
     def feed(self, data: bytes) -> list[bytes]:
         """Adds received bytes; returns the messages that are now complete, headers included."""
         if self._buffer:
             self._buffer += data
+            if len(self._buffer) < self._needed:
+                return []
             data = bytes(self._buffer)
-            self._buffer.clear()
+            self.clear()
         messages: list[bytes] = []
         at, end = 0, len(data)
         while at < end:
             stop = self._message_end(data, at, end)
             if stop is None or stop > end:
                 self._buffer += data[at:end]
+                self._needed = 0 if stop is None else stop - at
                 break
             messages.append(data[at:stop])
             at = stop
--- a/yardbank/ldap/front.py
+++ b/yardbank/ldap/front.py
@@ -26,6 +26,7 @@
 from yardbank.ldap.classify import Classifier, old_and_new_dn, result_outside_groups, target_dn
 from yardbank.ldap.exchange import Exchange, prepare
 from yardbank.ldap.intake import Intake
+from yardbank.ldap.partial_requests import PartialRequests
 from yardbank.ldap.spread import SORT_CONTROLS, FanOut, Search, cross_group_coverage
 from yardbank.ldap.state import Asked, Broken, ServerEnd, notice_of_disconnection, uncancellable_reason
 from yardbank.spread import Coverage
@@ -46,6 +47,7 @@
     session_by: str = "connection"  # or "identity"
     naming_contexts: tuple[str, ...] = ()
     max_message: int = 4 << 20
+    max_partial: int = 64 << 20  # octets of incomplete requests of all clients together
     max_outstanding: int = 1000
     max_unread: int = 4 << 20  # octets buffered for a client that does not read
     max_connections: int = 50_000
@@ -185,6 +187,17 @@
         self._write(event.notice)
         self._close()
 
+    def _limit_partial_requests(self, octets: int) -> None:
+        for client in self._factory.partial_requests.received(self, octets):
+            client.give_way()
+
+    def give_way(self) -> None:
+        """Ends the connection, whose incomplete request makes no progress and keeps memory from others."""
+        self._factory.log.warning("client_partial_bound", client=self._number, bound=self._options.max_partial)
+        self._drop_requests()
+        self._write(notice_of_disconnection(Code.BUSY, "no memory for a request that makes no progress"))
+        self._close()
+
     def _gateway_has(self, number: int) -> bool:
         return number in self._requests
 
@@ -426,6 +439,7 @@
         self.gateway, self.classifier, self.options = gateway, classifier, options
         self.log = gateway.log
         self.clients: dict[LdapFront, None] = {}
+        self.partial_requests: PartialRequests[LdapFront] = PartialRequests(options.max_partial)
         self._closing: Deferred[None] | None = None
         self._numbers = count(1)
 
@@ -439,6 +453,7 @@
     def connection_closed(self, client: LdapFront) -> None:
         """Removes a closed connection."""
         self.clients.pop(client, None)
+        self.partial_requests.release(client)
         if not self.clients and self._closing is not None and not self._closing.called:
             self._closing.callback(None)
 
--- a/yardbank/ldap/intake.py
+++ b/yardbank/ldap/intake.py
@@ -40,6 +40,7 @@
         """Processes received bytes, however they are split into reads."""
         for event in self._end.receive(data):
             self._receive_event(event)
+        self._limit_partial_requests(self._end.pending)
         withdrawn, self._withdrawn = self._withdrawn, []
         # Only after the whole read: releasing one request may send the next, which this read may have withdrawn too.
         for request in withdrawn:
@@ -136,6 +137,10 @@
 
     # Implemented by the subclass
 
+    def _limit_partial_requests(self, octets: int) -> None:
+        """Ends connections if all clients' incomplete requests take too much memory; ``octets``: of this one's."""
+        raise NotImplementedError
+
     def _serve(self, event: Asked) -> None:
         """Answers a request or passes it to the gateway; raises nothing."""
         raise NotImplementedError
--- a/yardbank/ldap/state.py
+++ b/yardbank/ldap/state.py
@@ -73,6 +73,11 @@
         """Message IDs of the requests without a final response."""
         return frozenset(self._outstanding)
 
+    @property
+    def pending(self) -> int:
+        """Buffered octets of an incomplete message."""
+        return self._framer.pending
+
     def receive(self, data: bytes) -> list[ServerEvent]:
         """Processes received bytes, however they are split; bytes after the end of the connection are ignored."""
         events: list[ServerEvent] = []
@@ -137,6 +142,7 @@
     def close(self) -> None:
         """Ends the connection: nothing is received or sent any more."""
         self._ended = True
+        self._framer.clear()
         self._outstanding.clear()
 
 
