Bound the notices that a database server sends along with an answer

What callers saw: nothing yet; found by reading, on a path related to turns of the event loop and answers without end.

Cause: notices of an answer are skipped without a count. A server that sends nothing else holds up the event loop with some ten thousand of them a read, until the attempt's time is over.

Change: parameters and notices count together, 64 with an answer, as parameters alone did.

Why it works: the 65th ends the connection, as any other answer that cannot be read.

Measured: the new test fails on the code before (10,064 notices are taken) and passes. Tests of server connections and pg: 488 passed.

--- a/tests/platform/test_server_memory.py
+++ b/tests/platform/test_server_memory.py
@@ -12,12 +12,13 @@
 from tests.support.platform import AUTHENTICATED, ENTRY, ENV, KINDS, READ, READY, START, parameter, query, row
 from tests.support.platform_process import serving
 from yardbank.gateway.api import MS, SECOND
+from yardbank.pg import messages as pg
 from yardbank.pg.state import MAX_GREETING_OCTETS
 from yardbank.pg.wire import Frame, int16, int32, text
 from yardbank.platform.backend import ServerConnection
 from yardbank.platform.connection_memory import CHECK_INTERVAL, ConnectionMemory
 from yardbank.platform.memory_budget import MAX_MESSAGE_WAIT, STALL_TIME, MemoryBudget
-from yardbank.platform.server import MAX_MESSAGE_OCTETS, ServerSession
+from yardbank.platform.server import MAX_EXTRAS, MAX_MESSAGE_OCTETS, ServerSession
 from yardbank.platform.statement import Operation, read_statement
 
 LARGE_VALUE = bytes(300_000)
@@ -252,6 +253,17 @@
     assert "parameters" in session.broken
 
 
+# Guards against an answer of notices without end, each read of which holds up the event loop.
+def test_an_answer_has_a_limited_number_of_notices():
+    session = opened()
+    session.start_statement("SELECT")
+    notice = pg.write_fault(pg.Fault((("M", "x"),), notice=True)).encode()
+    session.receive(row() + notice * MAX_EXTRAS)
+    assert not session.broken and session.memory_to_read().occupied < 1_000
+    session.receive(notice * 10_000)
+    assert session.broken == f"more than {MAX_EXTRAS} parameters and notices"
+
+
 @pytest.mark.parametrize("kind", [b"D", b"E", b"S"], ids=["row", "error", "parameter"])
 def test_all_octets_that_are_kept_of_an_answer_count_against_its_limit(kind):
     session = opened()
--- a/yardbank/platform/server.py
+++ b/yardbank/platform/server.py
@@ -19,7 +19,7 @@
 
 MAX_MESSAGE_OCTETS = 1 << 20  # answers of several hundred KiB were seen; a longer announced length counts as corrupt
 MAX_ANSWER_OCTETS = MAX_MESSAGE_OCTETS + (64 << 10)  # the longest message and those that come with it
-MAX_PARAMETERS = 64  # parameters sent along with one answer
+MAX_EXTRAS = 64  # parameters and notices sent along with one answer
 KEPT_PARAMETERS = frozenset(("part", "caught_up_to", "gauges"))
 MISS_STATES = frozenset(("25006", "72000"))
 FULL_STATE = "53300"
@@ -36,11 +36,17 @@
     probe: bool
     frames: list[Frame] = field(default_factory=list)
     parameters: dict[str, str] = field(default_factory=dict)
-    parameter_count: int = 0
+    extras: int = 0  # parameters and notices
     fault: pg.Fault | None = None
     error: bytes = b""  # the fault as received
     octets: int = 0  # received so far, without notices, which are not kept
 
+    def count_extra(self) -> None:
+        """Counts a parameter or notice. Raises ``WireError`` if there are too many: the answer may never end."""
+        self.extras += 1
+        if self.extras > MAX_EXTRAS:
+            raise WireError(f"more than {MAX_EXTRAS} parameters and notices")
+
     def count(self, octets: int) -> None:
         """Counts octets that are kept. Raises ``WireError`` if they are too many for one answer."""
         self.octets += octets
@@ -137,6 +143,7 @@
         if kind == "S":
             self._take_parameter(frame, pending)
         elif kind == "N":
+            pending.count_extra()
             pg.read_fault(frame)
         elif pending.fault is not None:
             raise WireError(f"message {kind!r} after an error")
@@ -153,9 +160,7 @@
     def _take_parameter(frame: Frame, pending: _PendingStatement) -> None:
         """Takes one parameter; only those that are used are kept."""
         name, value = pg.read_parameter(frame)
-        pending.parameter_count += 1
-        if pending.parameter_count > MAX_PARAMETERS:
-            raise WireError(f"more than {MAX_PARAMETERS} parameters")
+        pending.count_extra()
         if name in KEPT_PARAMETERS:
             pending.count(len(frame.body))
             pending.parameters[name] = value
